--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,160 @@
+// Interface of the decision module: declarations and plain types only. src/logic.cpp tells how to call it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pineridge {
+
+using Ticks = std::int64_t; // tenths of a millisecond
+
+enum class Repeat { idempotent, tokened, non_idempotent };
+enum class Group { all, zone, cell };
+enum class Advance { any_vote, share_of_votes, timer };
+enum class Outcome { ok, fault, no_room, too_slow, no_route, cut, undone, stale };
+enum class Phase { on_trial, going_back, released, withdrawn };
+enum class Standing { gone = 1, draining = 2, ready = 3 };
+
+struct Method {
+    Repeat repeat;
+    Group group;
+    Ticks soft_deadline;
+    Ticks window;
+    double utility;
+    bool stream;
+};
+
+struct Rollout {
+    Advance advance;
+    bool replaces;
+    bool cap_by_method;
+    bool keys_stay;
+    bool warm_keys;
+    int guarded_stages;
+    double free_picks;
+    double flag_share;
+    Ticks window;
+    Ticks answer_wait;
+    Ticks vote_life;
+    std::vector<double> places;
+    std::vector<double> caps;
+};
+
+// What the deployment tells an instance when it starts.
+struct Terms {
+    int instances;
+    int ordinal;
+    bool list_by_asking;
+    bool may_probe;
+    bool may_cut;
+    bool second_copies;
+    bool may_tell;
+    bool advise_pause;
+    bool utility_by_work;
+    int max_picks;
+    Ticks max_pause;
+    Ticks cold_for;
+    Ticks overload_for;
+    Ticks ask_every;
+    double cold_share;
+    double overload_multiple;
+    std::vector<Method> methods;
+    std::vector<double> tenant_quotas; // RPCs a second over all instances; 0: none
+    std::vector<std::string> report_fields;
+    Rollout rollout;
+};
+
+struct HostEntry {
+    std::string id;
+    int zone;
+    int kind;
+    int cell;
+    int build;
+    Standing standing;
+    double rating;
+    Ticks started;
+};
+
+struct Arrival {
+    std::string id;
+    int method;
+    int tenant;
+    std::string key;
+    Ticks deadline;
+    double work; // seconds on a standard core; 0: not told
+    bool retry;
+};
+
+struct News {
+    int build;
+    int stage;
+    Phase phase;
+    bool answers_vote;
+    bool valid;
+    double cap;
+    Ticks age;
+};
+
+struct Tally {
+    int build;
+    int method;
+    int picks;
+    int failed;
+    Ticks age;
+    double latency; // seconds
+};
+
+enum class Act { none, pick, cut, push_back, abort, vote, probe, watch_list, fetch_list, wake, tell, log };
+enum class Verdict { none, on, hold, back };
+
+// One decision; `act` tells which fields hold.
+struct Decision {
+    Act act = Act::none;
+    std::string rpc{};
+    std::string host{};
+    int pick = 0;
+    Ticks span = 0; // pick: time-out; push back: pause; wake: the time itself
+    int build = 0;
+    int stage = 0;
+    Verdict verdict = Verdict::none;
+    int peer = -1;
+    std::string text{}; // log line, or the bytes of a message to peers
+};
+
+class Router {
+  public:
+    Router(Terms terms, std::uint64_t seed);
+    ~Router();
+    Router(Router &&) noexcept;
+    Router &operator=(Router &&) noexcept;
+
+    // Inputs: each only updates what is known.
+    void clock(Ticks now);
+    void hosts(const std::vector<HostEntry> &entries, bool whole);
+    void list_failed();
+    void arrived(Arrival arrival);
+    void streaming(const std::string &rpc);
+    void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
+               const std::vector<double> &report);
+    void expired(const std::string &rpc);
+    void probed(const std::string &host, Outcome outcome, const std::vector<double> &report);
+    void flagged(const std::string &host, int method, Ticks age);
+    void news(const News &news);
+    void tally(const Tally &tally);
+    void told(int peer, const std::string &bytes);
+
+    // The next decision, until one of act none.
+    Decision next();
+
+  private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace pineridge
--- /dev/null
+++ b/src/simhost/reader.cpp
@@ -0,0 +1,317 @@
+#include "simhost/reader.hpp"
+#include "simhost/writer.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pineridge::simhost {
+
+namespace {
+
+using nlohmann::json;
+
+[[noreturn]] void wrong(const std::string &field, const char *what) {
+    throw BadInput(field + ": " + what);
+}
+
+const json &need(const json &from, const char *field) {
+    if (!from.is_object()) wrong(field, "its holder is not an object");
+    const auto at = from.find(field);
+    if (at == from.end() || at->is_null()) wrong(field, "missing");
+    return *at;
+}
+
+bool has(const json &from, const char *field) {
+    const auto at = from.find(field);
+    return at != from.end() && !at->is_null();
+}
+
+double number(const json &from, const char *field) {
+    const json &value = need(from, field);
+    if (!value.is_number()) wrong(field, "not a number");
+    const double read = value.get<double>();
+    if (!std::isfinite(read) || std::abs(read) > 1e11) wrong(field, "out of range");
+    return read;
+}
+
+int whole(const json &from, const char *field) {
+    const json &value = need(from, field);
+    if (!value.is_number_integer()) wrong(field, "not a whole number");
+    const double read = value.get<double>();
+    if (std::abs(read) > 2e9) wrong(field, "out of range");
+    return static_cast<int>(read);
+}
+
+int place(const json &from, const char *field, std::size_t size) {
+    const int read = whole(from, field);
+    if (read < 0 || static_cast<std::size_t>(read) >= size) wrong(field, "out of range");
+    return read;
+}
+
+bool flag(const json &from, const char *field) {
+    const json &value = need(from, field);
+    if (!value.is_boolean()) wrong(field, "not true or false");
+    return value.get<bool>();
+}
+
+bool mark(const json &from, const char *field) {
+    return has(from, field) && flag(from, field);
+}
+
+std::string text(const json &from, const char *field) {
+    const json &value = need(from, field);
+    if (!value.is_string()) wrong(field, "not a text");
+    return value.get<std::string>();
+}
+
+const json &list(const json &from, const char *field) {
+    const json &value = need(from, field);
+    if (!value.is_array()) wrong(field, "not an array");
+    return value;
+}
+
+template <class T>
+T word(const json &from, const char *field, std::initializer_list<std::pair<const char *, T>> words) {
+    const std::string read = text(from, field);
+    for (const auto &[name, value] : words)
+        if (read == name) return value;
+    wrong(field, "unknown word");
+}
+
+std::vector<double> numbers(const json &from, const char *field) {
+    std::vector<double> read;
+    for (const json &value : list(from, field)) {
+        if (!value.is_number()) wrong(field, "holds something other than a number");
+        read.push_back(value.get<double>());
+    }
+    return read;
+}
+
+std::vector<double> report(const json &event) {
+    return has(event, "gauge") ? numbers(event, "gauge") : std::vector<double>{};
+}
+
+Ticks ticks(const json &from, const char *field) {
+    return ticks_down(number(from, field));
+}
+
+Outcome outcome(const json &from) {
+    return word<Outcome>(from, "verdict",
+                         {{"pass", Outcome::ok},
+                          {"fault", Outcome::fault},
+                          {"no_room", Outcome::no_room},
+                          {"too_slow", Outcome::too_slow},
+                          {"no_route", Outcome::no_route},
+                          {"cut", Outcome::cut},
+                          {"undone", Outcome::undone},
+                          {"stale_send", Outcome::stale}});
+}
+
+Method read_method(const json &from) {
+    Method method{};
+    method.repeat = word<Repeat>(from, "repeat",
+                                 {{"read_like", Repeat::idempotent},
+                                  {"idempotency_key", Repeat::tokened},
+                                  {"non_idempotent", Repeat::non_idempotent}});
+    method.group =
+        word<Group>(from, "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
+    method.soft_deadline = ticks(from, "aim");
+    method.window = ticks(from, "window");
+    method.utility = number(from, "worth");
+    method.stream = flag(from, "stream");
+    return method;
+}
+
+Rollout read_rollout(const json &from) {
+    Rollout rollout{};
+    rollout.advance = word<Advance>(from, "control",
+                                    {{"first_voice", Advance::any_vote},
+                                     {"by_count", Advance::share_of_votes},
+                                     {"automatic", Advance::timer}});
+    rollout.replaces = word<bool>(from, "swap", {{"parallel", false}, {"replace", true}});
+    rollout.cap_by_method = word<bool>(from, "capScope", {{"all", false}, {"each_class", true}});
+    rollout.keys_stay = flag(from, "keysStay");
+    rollout.warm_keys = mark(from, "warmKeys");
+    rollout.guarded_stages = whole(from, "guardedStages");
+    rollout.free_picks = number(from, "uncounted");
+    rollout.flag_share = number(from, "flagShare");
+    rollout.window = ticks(from, "window");
+    rollout.answer_wait = ticks(from, "answerWait");
+    rollout.vote_life = ticks(from, "voteTtl");
+    rollout.places = numbers(from, "rings");
+    rollout.caps = numbers(from, "stageCap");
+    if (rollout.places.empty()) wrong("rings", "empty");
+    if (rollout.caps.empty()) wrong("stageCap", "empty");
+    return rollout;
+}
+
+HostEntry read_entry(const json &from) {
+    HostEntry entry{};
+    entry.id = text(from, "host");
+    entry.zone = whole(from, "locality");
+    entry.kind = whole(from, "kind");
+    entry.cell = whole(from, "cell");
+    entry.build = whole(from, "release");
+    const int standing = whole(from, "stageState");
+    if (standing < 1 || standing > 3) wrong("stageState", "out of range");
+    entry.standing = static_cast<Standing>(standing);
+    entry.rating = number(from, "rating");
+    entry.started = has(from, "readyAt") ? ticks(from, "readyAt") : 0;
+    return entry;
+}
+
+Arrival read_arrival(const json &from) {
+    Arrival arrival{};
+    arrival.id = text(from, "tid");
+    arrival.method = whole(from, "service");
+    arrival.tenant = has(from, "org") ? whole(from, "org") : 0;
+    arrival.key = has(from, "entity") ? text(from, "entity") : "";
+    arrival.deadline = ticks(from, "deadline");
+    arrival.work = has(from, "sizeHint") ? number(from, "sizeHint") : 0;
+    arrival.retry = mark(from, "retry");
+    return arrival;
+}
+
+News read_news(const json &from) {
+    News news{};
+    news.valid = outcome(from) == Outcome::ok;
+    news.answers_vote = whole(from, "reason") == 1;
+    if (!news.valid) return news;
+    news.build = whole(from, "image");
+    news.stage = whole(from, "stage");
+    news.phase = static_cast<Phase>(place(from, "whereAt", 4));
+    news.cap = number(from, "ceiling");
+    news.age = has(from, "old") ? ticks(from, "old") : 0;
+    return news;
+}
+
+std::string bytes(const json &from, const char *field) {
+    const std::string hex = text(from, field);
+    const auto digit = [&](char c) {
+        if (c >= '0' && c <= '9') return c - '0';
+        if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+        if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+        wrong(field, "not hex digits");
+    };
+    if (hex.size() % 2) wrong(field, "not hex digits");
+    std::string read;
+    for (std::size_t i = 0; i < hex.size(); i += 2)
+        read += static_cast<char>(digit(hex[i]) * 16 + digit(hex[i + 1]));
+    return read;
+}
+
+} // namespace
+
+// The wire counts in microseconds: round to those first, so that 8.0051 is not read as 8.0050999.
+Ticks ticks_down(double seconds) {
+    return std::llround(std::floor(std::round(seconds * 1e6) / 100.0));
+}
+
+Terms read_terms(const json &profile) {
+    Terms terms{};
+    const json &allowed = need(profile, "permissions");
+    const json &rules = need(profile, "rules");
+    terms.instances = std::max(1, whole(profile, "instances"));
+    terms.ordinal = whole(profile, "ordinal");
+    terms.list_by_asking = word<bool>(profile, "membershipMode", {{"push", false}, {"ask", true}});
+    terms.may_probe = flag(allowed, "mayProbe");
+    terms.may_cut = flag(allowed, "cancel");
+    terms.second_copies = flag(allowed, "secondCopies");
+    terms.may_tell = flag(allowed, "peers");
+    terms.advise_pause = flag(allowed, "retryAfter");
+    terms.max_picks = whole(allowed, "maxAttempts");
+    terms.max_pause = ticks(allowed, "maxRetryAfter");
+    terms.utility_by_work = word<bool>(profile, "valueBy", {{"request", false}, {"work", true}});
+    terms.cold_for = ticks(rules, "warmUp");
+    terms.overload_for = ticks(rules, "overloadFor");
+    terms.ask_every = terms.list_by_asking ? ticks(rules, "askEvery") : 0;
+    terms.cold_share = number(rules, "coldShare");
+    terms.overload_multiple = number(rules, "tipMultiple");
+    for (const json &method : list(profile, "classes")) terms.methods.push_back(read_method(method));
+    if (terms.methods.empty()) wrong("classes", "empty");
+    if (has(profile, "tenants"))
+        for (const json &tenant : list(profile, "tenants"))
+            terms.tenant_quotas.push_back(has(tenant, "quotaPerS") ? number(tenant, "quotaPerS") : 0);
+    const json &fields = need(profile, "report");
+    if (has(fields, "fields"))
+        for (const json &name : list(fields, "fields"))
+            terms.report_fields.push_back(name.is_string() ? name.get<std::string>() : "");
+    terms.rollout = read_rollout(need(profile, "familyInfo"));
+    return terms;
+}
+
+void Reader::take(const json &event, Ticks now, std::vector<std::string> &touched) {
+    const std::string cmd = text(event, "cmd");
+    if (cmd == "POOL") {
+        std::vector<HostEntry> entries;
+        for (const json &item : list(event, "items")) entries.push_back(read_entry(item));
+        sheets_[place(event, "sheet", sheets_.size())] = std::move(entries);
+        return;
+    }
+    const std::string who = text(event, "who");
+    if (cmd == "DETACH") {
+        routers_.erase(who);
+        return;
+    }
+    if (std::find(touched.begin(), touched.end(), who) == touched.end()) touched.push_back(who);
+    if (cmd == "SPAWN") {
+        const json &seed = need(event, "rngSeed");
+        if (!seed.is_number_integer()) wrong("rngSeed", "not a whole number");
+        routers_.insert_or_assign(who,
+                                  Router(read_terms(need(event, "profileData")), seed.get<std::uint64_t>()));
+        routers_.at(who).clock(now);
+        return;
+    }
+    const auto at = routers_.find(who);
+    if (at == routers_.end()) wrong("who", "an instance that has not started");
+    Router &router = at->second;
+    router.clock(now);
+    if (cmd == "DEADLINE_HIT") return;
+    if (cmd == "ARRIVAL") return router.arrived(read_arrival(event));
+    if (cmd == "REPORT_BACK")
+        return router.ended(text(event, "tid"), whole(event, "leg"), outcome(event), ticks(event, "latency"),
+                            mark(event, "complete"), report(event));
+    if (cmd == "ENDPOINTS") {
+        const int kind = whole(event, "kind");
+        if (kind == 3) return router.list_failed();
+        if (kind < 0 || kind > 3) wrong("kind", "out of range");
+        return router.hosts(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
+    }
+    if (cmd == "EXPIRED") return router.expired(text(event, "tid"));
+    if (cmd == "STEP_NEWS") return router.news(read_news(event));
+    if (cmd == "TALLY")
+        return router.tally({whole(event, "image"), whole(event, "service"), whole(event, "many"),
+                             whole(event, "errors"), ticks(event, "old"),
+                             has(event, "latency") ? number(event, "latency") : 0});
+    if (cmd == "FLAGGED")
+        return router.flagged(text(event, "host"), whole(event, "service"), ticks(event, "old"));
+    if (cmd == "PONG") return router.probed(text(event, "host"), outcome(event), report(event));
+    if (cmd == "WHISPER") return router.told(whole(event, "author"), bytes(event, "blob"));
+    if (cmd == "FLOWING") return router.streaming(text(event, "tid"));
+    wrong("cmd", ("unknown event " + cmd).c_str());
+}
+
+std::string Reader::reply(const std::string &line) {
+    const json batch = json::parse(line, nullptr, false);
+    if (batch.is_discarded()) throw BadInput("a line that is not JSON");
+    if (!batch.is_object()) throw BadInput("a line that is not an object");
+    const std::string frame = has(batch, "frame") ? batch["frame"].dump() : "?";
+    std::vector<std::string> touched;
+    json actions = json::array();
+    try {
+        if (!need(batch, "frame").is_number_integer()) wrong("frame", "not a whole number");
+        const Ticks now = ticks(batch, "clock");
+        for (const json &event : list(batch, "events")) take(event, now, touched);
+        for (const std::string &who : touched) {
+            const auto at = routers_.find(who);
+            if (at == routers_.end()) continue;
+            for (Decision d = at->second.next(); d.act != Act::none; d = at->second.next())
+                actions.push_back(action(who, d));
+        }
+    } catch (const BadInput &bad) {
+        throw BadInput("frame " + frame + ": " + bad.what());
+    }
+    return json{{"frame", batch["frame"]}, {"actions", std::move(actions)}}.dump();
+}
+
+} // namespace pineridge::simhost
--- /dev/null
+++ b/src/simhost/writer.hpp
@@ -0,0 +1,15 @@
+// Writes the module's answers as the simulator's messages.
+#pragma once
+
+#include "logic.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace pineridge::simhost {
+
+nlohmann::json action(const std::string &who, const Decision &decision);
+std::string to_hex(const std::string &bytes);
+
+} // namespace pineridge::simhost
--- /dev/null
+++ b/tests/simhost_test.cpp
@@ -0,0 +1,1 @@
+int main(){}
