--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -139,15 +139,12 @@
     void hosts(const std::vector<HostEntry> &entries, bool whole);
     void list_failed();
     void arrived(Arrival arrival);
-    void streaming(const std::string &rpc);
     void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
                const std::vector<double> &report);
-    void expired(const std::string &rpc);
-    void probed(const std::string &host, Outcome outcome, const std::vector<double> &report);
-    void flagged(const std::string &host, int method, Ticks age);
+    void finished(const std::string &rpc); // the client left, or owns the stream that has started
+    void flagged(const std::string &host, Ticks age);
     void news(const News &news);
     void tally(const Tally &tally);
-    void told(int peer, const std::string &bytes);
 
     // The next decision, until one of act none.
     Decision next();
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -10,9 +10,7 @@
 
 using nlohmann::json;
 
-[[noreturn]] void wrong(const std::string &field, const char *what) {
-    throw BadInput(field + ": " + what);
-}
+[[noreturn]] void wrong(const std::string &field, const char *what) { throw BadInput(field + ": " + what); }
 
 const json &need(const json &from, const char *field) {
     if (!from.is_object()) wrong(field, "its holder is not an object");
@@ -54,9 +52,7 @@
     return value.get<bool>();
 }
 
-bool mark(const json &from, const char *field) {
-    return has(from, field) && flag(from, field);
-}
+bool mark(const json &from, const char *field) { return has(from, field) && flag(from, field); }
 
 std::string text(const json &from, const char *field) {
     const json &value = need(from, field);
@@ -91,9 +87,7 @@
     return has(event, "gauge") ? numbers(event, "gauge") : std::vector<double>{};
 }
 
-Ticks ticks(const json &from, const char *field) {
-    return ticks_down(number(from, field));
-}
+Ticks ticks(const json &from, const char *field) { return ticks_down(number(from, field)); }
 
 Outcome outcome(const json &from) {
     return word<Outcome>(from, "verdict",
@@ -203,9 +197,7 @@
 } // namespace
 
 // The wire counts in microseconds: round to those first, so that 8.0051 is not read as 8.0050999.
-Ticks ticks_down(double seconds) {
-    return std::llround(std::floor(std::round(seconds * 1e6) / 100.0));
-}
+Ticks ticks_down(double seconds) { return std::llround(std::floor(std::round(seconds * 1e6) / 100.0)); }
 
 Terms read_terms(const json &profile) {
     Terms terms{};
@@ -277,17 +269,16 @@
         if (kind < 0 || kind > 3) wrong("kind", "out of range");
         return router.hosts(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
     }
-    if (cmd == "EXPIRED") return router.expired(text(event, "tid"));
+    if (cmd == "EXPIRED") return router.finished(text(event, "tid"));
     if (cmd == "STEP_NEWS") return router.news(read_news(event));
     if (cmd == "TALLY")
         return router.tally({whole(event, "image"), whole(event, "service"), whole(event, "many"),
                              whole(event, "errors"), ticks(event, "old"),
                              has(event, "latency") ? number(event, "latency") : 0});
-    if (cmd == "FLAGGED")
-        return router.flagged(text(event, "host"), whole(event, "service"), ticks(event, "old"));
-    if (cmd == "PONG") return router.probed(text(event, "host"), outcome(event), report(event));
-    if (cmd == "WHISPER") return router.told(whole(event, "author"), bytes(event, "blob"));
-    if (cmd == "FLOWING") return router.streaming(text(event, "tid"));
+    if (cmd == "FLAGGED") return router.flagged(text(event, "host"), ticks(event, "old"));
+    if (cmd == "FLOWING") return router.finished(text(event, "tid"));
+    if (cmd == "PONG") return static_cast<void>(text(event, "host"));     // the module asks for no probes
+    if (cmd == "WHISPER") return static_cast<void>(bytes(event, "blob")); // and sends no messages
     wrong("cmd", ("unknown event " + cmd).c_str());
 }
 
--- a/src/simhost/writer.cpp
+++ b/src/simhost/writer.cpp
@@ -4,9 +4,7 @@
 
 namespace {
 
-double seconds(Ticks ticks) {
-    return static_cast<double>(ticks) / 10000.0;
-}
+double seconds(Ticks ticks) { return static_cast<double>(ticks) / 10000.0; }
 
 } // namespace
 
@@ -28,32 +26,24 @@
                 {"tid", d.rpc},
                 {"host", d.host},
                 {"patience", seconds(d.span)}};
-    case Act::cut:
-        return {{"cmd", "REVOKE"}, {"who", who}, {"tid", d.rpc}, {"leg", d.pick}};
-    case Act::push_back:
-        return {{"cmd", "BUSY"}, {"who", who}, {"tid", d.rpc}, {"pause", seconds(d.span)}};
-    case Act::abort:
-        return {{"cmd", "ERROR"}, {"who", who}, {"tid", d.rpc}};
+    case Act::cut: return {{"cmd", "REVOKE"}, {"who", who}, {"tid", d.rpc}, {"leg", d.pick}};
+    case Act::push_back: return {{"cmd", "BUSY"}, {"who", who}, {"tid", d.rpc}, {"pause", seconds(d.span)}};
+    case Act::abort: return {{"cmd", "ERROR"}, {"who", who}, {"tid", d.rpc}};
     case Act::vote:
         return {{"cmd", "JUDGE"},
                 {"who", who},
                 {"image", d.build},
                 {"stage", d.stage},
                 {"reason", static_cast<int>(d.verdict)}};
-    case Act::probe:
-        return {{"cmd", "PING"}, {"who", who}, {"host", d.host}};
-    case Act::watch_list:
-        return {{"cmd", "LISTEN"}, {"who", who}, {"want", true}};
-    case Act::fetch_list:
-        return {{"cmd", "RESOLVE"}, {"who", who}};
+    case Act::probe: return {{"cmd", "PING"}, {"who", who}, {"host", d.host}};
+    case Act::watch_list: return {{"cmd", "LISTEN"}, {"who", who}, {"want", true}};
+    case Act::fetch_list: return {{"cmd", "RESOLVE"}, {"who", who}};
     case Act::wake:
         return {{"cmd", "TIMER"}, {"who", who}, {"instant", seconds(d.span)}, {"keyBack", "wake"}};
     case Act::tell:
         return {{"cmd", "PUBLISH"}, {"who", who}, {"addressee", d.peer}, {"blob", to_hex(d.text)}};
-    case Act::log:
-        return {{"cmd", "EMIT"}, {"who", who}, {"line", d.text}};
-    case Act::none:
-        break;
+    case Act::log: return {{"cmd", "EMIT"}, {"who", who}, {"line", d.text}};
+    case Act::none: break;
     }
     return nullptr;
 }
