Draw copies by what the trial's hosts can bear; state types in their own file

Cause: copies filled up to the cap swamped cold trial hosts, whose time-outs read as divergence and sent good builds back. Copies are now drawn by the trial hosts' warm part of the capacity, and a cold host's slow answer is not counted. Also covers copied retry bursts and a trial host returning cold; it may hurt by fewer pairs.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -3,12 +3,10 @@
 // what is known. Then call next() until it answers Act::none and carry out each decision in that order. It
 // asks by Act::wake for a later clock() call. One Router is one instance; it shares nothing with another.
 #include "logic.hpp"
+#include "state.hpp"
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <queue>
-#include <set>
-#include <unordered_map>
 
 namespace pineridge {
 namespace {
@@ -34,6 +32,8 @@
 constexpr double kSharedLoad = 1.15;    // that more traffic does not explain
 constexpr Ticks kWithhold = 15000;      // trial traffic withheld to see whether the hosts recover
 constexpr double kRecovery = 0.5;       // share of the rise that may be left after it
+constexpr double kCopyBeside = 0.2;     // copies beside real traffic, over the trial's part of it
+constexpr int kFewRouters = 3;          // with more, one router's withholding is too little to see
 constexpr double kFlagProof = 5.0;      // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06;    // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 300;      // answers' worth of belief in few false complaints
@@ -71,31 +71,6 @@
 constexpr Ticks kPause = 3000;        // advice to a client that is pushed back
 constexpr double kLeastRating = 0.05; // a rating of nothing would divide by nothing
 
-struct Pcg {
-    std::uint64_t state = 0;
-    std::uint32_t draw() {
-        const std::uint64_t old = state;
-        state = old * 6364136223846793005ULL + 1442695040888963407ULL;
-        const auto word = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-        const auto turn = static_cast<std::uint32_t>(old >> 59);
-        return (word >> turn) | (word << ((32 - turn) & 31));
-    }
-    double unit() { return draw() / 4294967296.0; }
-};
-
-std::uint64_t mix(const std::string &text, std::uint64_t salt) {
-    std::uint64_t hash = 14695981039346656037ULL ^ salt;
-    for (unsigned char c : text) hash = (hash ^ c) * 1099511628211ULL;
-    hash = (hash ^ (hash >> 32)) * 0xd6e8feb86659fd93ULL;
-    return hash ^ (hash >> 32);
-}
-
-double median(std::vector<double> &values) {
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 bool proves_unrun(Outcome end) {
     return end == Outcome::no_room || end == Outcome::no_route || end == Outcome::stale;
 }
@@ -104,84 +79,13 @@
     return end == Outcome::fault || end == Outcome::too_slow || end == Outcome::cut;
 }
 
-struct Pick {
-    int host;
-    int build;
-    Ticks sent;
-    bool on_trial;
-    bool copy;
-    bool aged; // its host was past the cold skip
-    bool open = true;
-    bool cut = false;
-    Outcome outcome = Outcome::ok;
-};
-
-struct Rpc {
-    Arrival from;
-    double place; // where its key (or a draw) falls in the trial's range
-    bool over_share = false;
-    bool done = false;
-    bool queued = false;
-    bool want_copy = false;
-    bool paired = false;
-    Ticks look_at = 0; // when it may look elsewhere
-    std::vector<Pick> picks{};
-};
-
-struct Host {
-    HostEntry entry;
-    bool listed = true;
-    int open = 0;
-    double excess = 0; // log of its latency over the usual
-    double fails = 0;
-    Ticks fails_at = 0;
-    int streak = 0;
-    Ticks rest_until = 0;
-    Ticks rest = kRest;
-    Ticks quiet_since = 0;
-    Ticks full_until = 0;
-    double held = 0; // RPCs there, as reported
-    Ticks held_at = -kReportAge;
-    std::deque<Ticks> pushed{}; // picks while cold
-};
-
-struct Sample {
-    Ticks at;
-    int method;
-    int host;
-    bool failed;
-    bool timed;
-    double excess;
-};
-
-struct Count {
-    double picks = 0;
-    double failed = 0;
-    double share() const { return picks > 0 ? failed / picks : 0; }
-    void add(double more, double bad) { picks += more, failed += bad; }
-};
-
-struct Build {
-    std::deque<Sample> samples{};
-    std::vector<double> range{};             // by method: share of keys that it has
-    std::vector<int> proven{};               // by method: ok picks
-    std::vector<std::deque<Ticks>> picked{}; // by method: picks within the exposure window
-    std::set<std::string> keys{};            // keys it has answered, where they must stay
-    double answers = 0;
-    double flags = 0;
-};
-
-struct Evidence {
-    Count all, stage;
-    std::vector<Count> by_method;
-    std::map<int, Count> by_host;
-    double slow = 0; // log of the median latency over the earlier hosts'
-    bool timed = false;
-};
 } // namespace
 
-struct Router::State {
-    State(Terms given, std::uint64_t seed) : terms(std::move(given)) {
+struct Router::State : Instance {
+    State(Terms given, std::uint64_t seed) {
+        terms = std::move(given);
+        budget = kBudgetMost / 2;
+        voted_at = -kVoteRetry;
         rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
         usual.assign(terms.methods.size(), 0);
         usual_count.assign(terms.methods.size(), 0);
@@ -189,44 +93,6 @@
         for (double quota : terms.tenant_quotas) tokens.push_back(quota / terms.instances);
     }
 
-    Terms terms;
-    Pcg rng;
-    Ticks now = 0, armed = -1, beat_at = 0;
-    std::vector<Host> hosts;
-    std::unordered_map<std::string, int> host_at;
-    std::unordered_map<std::string, Rpc> rpcs; // looked up, never walked
-    std::deque<std::string> todo, lines;
-    using Due = std::pair<Ticks, std::string>;
-    std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
-    std::map<int, Build> builds;
-    std::deque<Sample> earlier; // the earlier build's picks of late
-    std::deque<std::pair<Ticks, Tally>> tallies;
-    std::vector<double> usual; // by method: log latency at the earlier build, still while one is on trial
-    std::vector<int> usual_count;
-    std::map<int, double> kind_excess;
-    std::vector<std::deque<Ticks>> taken; // by method: arrivals within the exposure window
-    std::vector<double> tokens;           // by tenant: RPCs left within its quota
-    Ticks tokens_at = 0;
-    double budget = kBudgetMost / 2;
-    int open = 0; // picks
-    double late = 0;
-    double limit = 0; // of open picks; 0: none needed so far
-    double pace = 0;  // picks a second at warm hosts, for each unit of rating
-    std::deque<Ticks> warm_picks;
-    double traffic = 0, calm_traffic = 0; // arrivals a second: of late, and when the trial began
-    Ticks traffic_at = 0;
-    int arrivals = 0;
-    double fleet_excess = 0, calm_excess = 0, withheld_rise = 0;
-    Ticks withheld_until = 0, next_test = 0;
-    int recoveries = 0;
-    double earlier_fails = 0;
-    News known{};
-    bool has_news = false;
-    Ticks stage_at = 0, voted_at = -kVoteRetry;
-    Verdict voted = Verdict::none;
-    bool vote_counts = false;
-    Ticks ask_at = 0, ask_wait = kAskAgain; // ask_at < 0: a call is out or a subscription stands
-
     // --- bookkeeping ---
     bool on_trial(int build) const {
         return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
@@ -334,7 +200,7 @@
             host.entry = entry;
             host.listed = entry.standing != Standing::gone;
         }
-        ask_wait = kAskAgain;
+        ask_wait = 0;
     }
 
     void arrive(Arrival from) {
@@ -372,7 +238,7 @@
             host.fails = fails(host) + (failed - fails(host)) * kHostRate;
             host.fails_at = now;
             host.streak = failed ? host.streak + 1 : 0;
-            if (served) host.rest = kRest;
+            if (served) host.rest = 0;
             rest_if_failing(host);
         }
         const bool timed = served || pick.outcome == Outcome::too_slow;
@@ -405,12 +271,14 @@
             resting += usable(other) && other.rest_until > now;
         }
         if (resting > std::max(1.0, all * kRestShare)) return;
+        host.rest = std::clamp(host.rest * 2, kRest, kRestMost);
         host.rest_until = now + host.rest;
-        host.rest = std::min(kRestMost, host.rest * 2);
+
         log("host rests: streak %.0f fails %.2f resting %.0f", host.streak, host.fails, resting);
     }
 
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
+        if (failed && !pick.aged && pick.outcome == Outcome::too_slow) return; // a cold host's slowness
         std::deque<Sample> &samples = of(pick.build).samples;
         const bool timed = pick.aged && usual_count[rpc.from.method] > 0;
         samples.push_back({now, rpc.from.method, pick.host, failed, timed, excess});
@@ -566,7 +434,7 @@
     double cost(const Rpc &rpc, const Host &host) {
         // Others' work at the host, from its report; a lone router knows all by its own open picks.
         double held = host.open;
-        if (now - host.held_at < kReportAge)
+        if (host.held_at >= 0 && now - host.held_at < kReportAge)
             held += kReportTrust * (1 - 1.0 / terms.instances) * std::max(0.0, host.held - host.open);
         double cost = (held + 1) / weight(host);
         cost *= std::exp(std::clamp(host.excess - fleet_excess, 0.0, 3.0));
@@ -608,20 +476,24 @@
     }
 
     // --- the mechanism ---
+    // The trial's part of the capacity, its cold hosts counted for what they can do by now.
+    double trial_part() const {
+        double there = 0, before = 0;
+        for (const Host &host : hosts)
+            if (usable(host)) (on_trial(host.entry.build) ? there : before) += weight(host);
+        const double places = terms.rollout.replaces ? before + there : before;
+        return places > 0 ? std::min(1.0, there / places) : 1;
+    }
+
     // The trial's share of a method's real RPCs: in step with its places, a stage apart by repeat.
     double trial_share(int method) {
-        if (!trial_runs()) return 0;
         Build &build = of(known.build);
         int first = 1 + static_cast<int>(terms.methods[method].repeat);
         if (!terms.second_copies && first == 1) first = 0;
         double share = 0;
         if (known.stage >= first) {
             const auto stage = std::min<std::size_t>(known.stage, terms.rollout.places.size() - 1);
-            double there = 0, before = 0;
-            for (const Host &host : hosts)
-                if (usable(host)) (on_trial(host.entry.build) ? there : before) += weight(host);
-            const double places = terms.rollout.replaces ? before + there : before;
-            share = places > 0 ? std::min(terms.rollout.places[stage], there / places) : 1;
+            share = std::min(terms.rollout.places[stage], trial_part());
             // A method with an effect starts with a trickle: a build that fails only that one shows in no
             // pair.
             if (first > 1) share *= std::min(1.0, (build.proven[method] + 3) / 15.0);
@@ -630,6 +502,10 @@
         return terms.rollout.keys_stay ? build.range[method] : share;
     }
 
+    // A copy is drawn in step with what the trial's hosts can bear beside their real traffic. Stops copies
+    // from swamping them, cold ones above all, which would read as divergence; fewer pairs are the price.
+    bool copy_drawn() { return rng.unit() < trial_part() * (known.stage > 0 ? kCopyBeside : 1); }
+
     Decision send(Rpc &rpc, int target, bool copy) {
         Host &host = hosts[target];
         const bool trial = on_trial(host.entry.build);
@@ -716,7 +592,7 @@
         if (target < 0) return finish(rpc, true);
         rpc.want_copy = open_trial && terms.second_copies && !on_trial(hosts[target].entry.build) &&
                         method.repeat == Repeat::idempotent && !rpc.from.retry && limit <= 0 &&
-                        !method.stream;
+                        !method.stream && copy_drawn();
         return send(rpc, target, false);
     }
 
@@ -830,13 +706,16 @@
         if (withheld_until > now) return false;
         if (withheld_until > 0) {
             withheld_until = 0;
-            recoveries = rise < withheld_rise * kRecovery ? recoveries + 1 : 0;
+            const bool steady = traffic > withheld_traffic / kSharedLoad;
+            recoveries = steady && rise < withheld_rise * kRecovery ? recoveries + 1 : 0;
             next_test = now + (recoveries > 0 ? kWithhold : kWithhold * 4);
             log("withheld: rise %.2f to %.2f, recoveries %.0f", withheld_rise, rise, recoveries);
         }
-        if (rise > std::log(kSharedRise) && traffic < calm_traffic * kSharedLoad && now > next_test) {
+        if (terms.instances <= kFewRouters && rise > std::log(kSharedRise) && now > next_test &&
+            traffic < calm_traffic * kSharedLoad) {
             withheld_until = now + kWithhold;
             withheld_rise = rise;
+            withheld_traffic = traffic;
         }
         return recoveries >= 2;
     }
@@ -885,8 +764,8 @@
     }
 
     void list_failed() {
+        ask_wait = std::clamp(ask_wait * 2, kAskAgain, kAskMost);
         ask_at = now + ask_wait + static_cast<Ticks>(ask_wait * 0.25 * rng.unit());
-        ask_wait = std::min(kAskMost, ask_wait * 2);
     }
 
     Decision next() {
