--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,7 +24,8 @@
 constexpr Ticks kVoteRenewal = 40000;   // votes renew
 constexpr Ticks kVoteRetry = 3000;      // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;      // median latency against the earlier build's
-constexpr std::size_t kSlowSample = 15; // latencies before the median speaks
+constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
+constexpr double kFewHosts = 0.4;       // a lone trial host must be so much slower still, machines differ
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
 constexpr double kExplained = 0.7;      // an earlier host this near the trial's figure explains it
@@ -33,7 +34,8 @@
 constexpr Ticks kWithhold = 15000;      // trial traffic withheld to see whether the hosts recover
 constexpr double kRecovery = 0.5;       // share of the rise that may be left after it
 constexpr double kCopyBeside = 0.2;     // copies beside real traffic, over the trial's part of it
-constexpr int kFewRouters = 3;          // with more, one router's withholding is too little to see
+constexpr int kFewRouters = 3;          // with more, chance finds more recoveries: ask for one more
+constexpr double kWarmEnough = 0.85;    // of the trial hosts' capacity, before the earlier ones are let go
 constexpr double kFlagProof = 5.0;      // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06;    // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 300;      // answers' worth of belief in few false complaints
@@ -205,7 +207,7 @@
 
     void arrive(Arrival from) {
         taken.at(from.method).push_back(now);
-        ++arrivals;
+        arrivals += !from.retry;
         budget = std::min(kBudgetMost, budget + kBudgetShare);
         Rpc rpc{std::move(from), 0};
         rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
@@ -485,6 +487,13 @@
         return places > 0 ? std::min(1.0, there / places) : 1;
     }
 
+    double trial_warmth() const {
+        double now_able = 0, in_full = 0;
+        for (const Host &host : hosts)
+            if (usable(host) && on_trial(host.entry.build)) now_able += weight(host), in_full += rating(host);
+        return in_full > 0 ? now_able / in_full : 0;
+    }
+
     // The trial's share of a method's real RPCs: in step with its places, a stage apart by repeat.
     double trial_share(int method) {
         Build &build = of(known.build);
@@ -634,17 +643,25 @@
     Evidence gather(const Build &build) const {
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
-        std::vector<double> excess;
+        std::map<int, std::vector<double>> excess;
         for (const Sample &sample : build.samples) {
             if (sample.at < now - kEvidenceAge) continue;
             seen.all.add(1, sample.failed);
             seen.by_method[sample.method].add(1, sample.failed);
             seen.by_host[sample.host].add(1, sample.failed);
             if (sample.at >= stage_at) seen.stage.add(1, sample.failed);
-            if (sample.timed && sample.at > now - kEvidenceAge / 2) excess.push_back(sample.excess);
+            if (sample.timed && sample.at > now - kEvidenceAge / 2)
+                excess[sample.host].push_back(sample.excess);
         }
-        seen.timed = excess.size() >= kSlowSample;
-        if (seen.timed) seen.slow = median(excess) - fleet_excess;
+        std::vector<double> medians;
+        for (auto &[host, values] : excess)
+            if (values.size() >= kSlowSample) medians.push_back(median(values) - fleet_excess);
+        if (medians.empty()) return seen;
+        // A slow build is slow on every host: the better hosts speak, and few hosts must speak louder. Stops
+        // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
+        std::sort(medians.begin(), medians.end());
+        seen.slow = medians[medians.size() / 4];
+        seen.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / static_cast<double>(medians.size())));
         return seen;
     }
 
@@ -697,27 +714,28 @@
                count.failed > (share + usual_share) * count.picks;
     }
 
-    // Every host slower since the trial began, and not for more traffic: a build that may slow them all. The
-    // trial's traffic is withheld for a while; if the hosts recover without it, twice, it is the cause.
-    // Stops a build whose harm shows at no host of its own; costs a little evidence when the cause is
-    // another.
+    // Every host slower since the trial began, and not for more traffic: a build that may slow them all. Its
+    // traffic is withheld, by all routers in step as the stage's age goes; if the hosts recover each time, it
+    // is the cause. Stops a build whose harm shows at no host of its own, also by jamming the fleet; costs
+    // evidence and a little delay when the cause is another.
     bool slows_all() {
         const double rise = fleet_excess - calm_excess;
+        const Ticks turn = (now - stage_at) / kWithhold;
         if (withheld_until > now) return false;
         if (withheld_until > 0) {
             withheld_until = 0;
             const bool steady = traffic > withheld_traffic / kSharedLoad;
             recoveries = steady && rise < withheld_rise * kRecovery ? recoveries + 1 : 0;
-            next_test = now + (recoveries > 0 ? kWithhold : kWithhold * 4);
+            if (recoveries == 0) next_test = now + kWithhold * 4;
             log("withheld: rise %.2f to %.2f, recoveries %.0f", withheld_rise, rise, recoveries);
         }
-        if (terms.instances <= kFewRouters && rise > std::log(kSharedRise) && now > next_test &&
-            traffic < calm_traffic * kSharedLoad) {
-            withheld_until = now + kWithhold;
+        suspect = now >= next_test && rise > std::log(kSharedRise) && traffic < calm_traffic * kSharedLoad;
+        if (suspect && turn % 2 == 1) {
+            withheld_until = stage_at + (turn + 1) * kWithhold;
             withheld_rise = rise;
             withheld_traffic = traffic;
         }
-        return recoveries >= 2;
+        return recoveries >= (terms.instances <= kFewRouters ? 2 : 3);
     }
 
     Verdict judgement() {
@@ -732,14 +750,17 @@
         }
         if (failing && !host_explains(seen)) return back("failures", seen, usual_share);
         if (watching()) return Verdict::none;
-        const bool slow = seen.timed && seen.slow > std::log(kSlowRatio);
+        const bool slow = seen.slow > seen.slow_bar;
         if (slow && !slow_explained(seen.slow)) return back("latency", seen, std::exp(seen.slow));
         if (slows_all()) return back("slowing all", seen, std::exp(fleet_excess - calm_excess));
         if (terms.rollout.advance == Advance::timer) {
             const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
             return doubtful || slow || recoveries > 0 ? Verdict::hold : Verdict::none;
         }
-        if (failing || slow || withheld_until > now || recoveries > 0) return Verdict::none;
+        if (failing || slow || suspect || withheld_until > now || recoveries > 0) return Verdict::none;
+        // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
+        const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
+        if (last && trial_warmth() < kWarmEnough) return Verdict::none;
         const double borne = kOnDivergences + usual_share * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -84,8 +84,8 @@
     Count all, stage;
     std::vector<Count> by_method;
     std::map<int, Count> by_host;
-    double slow = 0; // log of the median latency over the earlier hosts'
-    bool timed = false;
+    double slow = 0; // log of the better hosts' median latency over the earlier hosts'
+    double slow_bar = 0;
 };
 struct Instance {
     Terms terms;
@@ -118,6 +118,7 @@
     double fleet_excess = 0, calm_excess = 0, withheld_rise = 0, withheld_traffic = 0;
     Ticks withheld_until = 0, next_test = 0;
     int recoveries = 0;
+    bool suspect = false;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
