--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,20 +25,21 @@
 constexpr Ticks kVoteRetry = 3000;      // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;      // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
-constexpr double kFewHosts = 0.4;       // a lone trial host must be so much slower still, machines differ
+constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still, machines differ
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
 constexpr double kExplained = 0.7;      // an earlier host this near the trial's figure explains it
+constexpr double kPeakFade = 0.985;     // a beat, of the peak that traffic is remembered by
 constexpr double kSharedRise = 1.5;     // rise of every host's latency since the trial began
 constexpr double kSharedLoad = 1.15;    // that more traffic does not explain
-constexpr Ticks kWithhold = 15000;      // trial traffic withheld to see whether the hosts recover
-constexpr double kRecovery = 0.5;       // share of the rise that may be left after it
+constexpr double kSharedSound = 0.85;   // nor fewer sound hosts
+constexpr Ticks kSharedFor = 20000;     // and that lasts
 constexpr double kCopyBeside = 0.2;     // copies beside real traffic, over the trial's part of it
-constexpr int kFewRouters = 3;          // with more, chance finds more recoveries: ask for one more
-constexpr double kWarmEnough = 0.85;    // of the trial hosts' capacity, before the earlier ones are let go
-constexpr double kFlagProof = 5.0;      // log odds that complaints follow the build
-constexpr double kWrongShare = 0.06;    // share of wrong answers that the odds are set for
-constexpr double kFlagPrior = 300;      // answers' worth of belief in few false complaints
+
+constexpr double kWarmEnough = 0.85; // of the trial hosts' capacity, before the earlier ones are let go
+constexpr double kFlagProof = 5.0;   // log odds that complaints follow the build
+constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
+constexpr double kFlagPrior = 300;   // answers' worth of belief in few false complaints
 
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1;     // weight of the newest outcome in a host's figures
@@ -160,13 +161,20 @@
         while (!earlier.empty() && earlier.front().at < now - kEvidenceAge) earlier.pop_front();
         while (!tallies.empty() && tallies.front().first < now - kEvidenceAge) tallies.pop_front();
         double warm = 0;
+        sound = 0;
         std::vector<double> excess;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
+            if (usable(host) && host.rest_until <= now && fails(host) < kBackShare) sound += weight(host);
             if (usable_earlier(host)) excess.push_back(host.excess);
         }
         if (warm > 0) pace += (warm_picks.size() / warm - pace) * 0.2;
-        if (!excess.empty()) fleet_excess = median(excess);
+        if (!excess.empty()) {
+            fleet_excess = median(excess);
+            std::sort(excess.begin(), excess.end());
+            better_excess = excess[excess.size() / 4];
+        }
+        peak_traffic = std::max(traffic, peak_traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
         if (served.picks >= kBackPairs) earlier_fails = served.share();
@@ -346,8 +354,9 @@
         if (other || told.stage != known.stage || told.phase != known.phase) {
             if (other || told.phase != known.phase) {
                 calm_traffic = traffic;
-                calm_excess = fleet_excess;
-                withheld_until = next_test = recoveries = 0;
+                calm_excess = better_excess;
+                calm_sound = sound;
+                suspect_since = -1;
             }
             stage_at = now - told.age;
             voted = Verdict::none;
@@ -592,7 +601,7 @@
 
     Decision first_pick(Rpc &rpc) {
         const Method &method = method_of(rpc);
-        const bool open_trial = trial_runs() && withheld_until <= now;
+        const bool open_trial = trial_runs();
         const bool drawn = open_trial && rpc.place < trial_share(rpc.from.method);
         int target = drawn ? choose(rpc, true) : -1;
         if (target < 0) target = choose(rpc, false);
@@ -644,6 +653,10 @@
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
         std::map<int, std::vector<double>> excess;
+        std::vector<double> beside;
+        for (const Sample &sample : earlier)
+            if (sample.timed && sample.at > now - kEvidenceAge / 2) beside.push_back(sample.excess);
+        const double usual_excess = beside.size() >= kSlowSample ? median(beside) : fleet_excess;
         for (const Sample &sample : build.samples) {
             if (sample.at < now - kEvidenceAge) continue;
             seen.all.add(1, sample.failed);
@@ -655,7 +668,7 @@
         }
         std::vector<double> medians;
         for (auto &[host, values] : excess)
-            if (values.size() >= kSlowSample) medians.push_back(median(values) - fleet_excess);
+            if (values.size() >= kSlowSample) medians.push_back(median(values) - usual_excess);
         if (medians.empty()) return seen;
         // A slow build is slow on every host: the better hosts speak, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
@@ -714,28 +727,19 @@
                count.failed > (share + usual_share) * count.picks;
     }
 
-    // Every host slower since the trial began, and not for more traffic: a build that may slow them all. Its
-    // traffic is withheld, by all routers in step as the stage's age goes; if the hosts recover each time, it
-    // is the cause. Stops a build whose harm shows at no host of its own, also by jamming the fleet; costs
-    // evidence and a little delay when the cause is another.
+    // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
+    // sound hosts: the build on trial slows them all, or jams them. Stops a build whose harm shows at no host
+    // of its own; covers builds whose retries swamp the rest. May blame the build for a trouble that strikes
+    // every host at once during a trial.
     bool slows_all() {
-        const double rise = fleet_excess - calm_excess;
-        const Ticks turn = (now - stage_at) / kWithhold;
-        if (withheld_until > now) return false;
-        if (withheld_until > 0) {
-            withheld_until = 0;
-            const bool steady = traffic > withheld_traffic / kSharedLoad;
-            recoveries = steady && rise < withheld_rise * kRecovery ? recoveries + 1 : 0;
-            if (recoveries == 0) next_test = now + kWithhold * 4;
-            log("withheld: rise %.2f to %.2f, recoveries %.0f", withheld_rise, rise, recoveries);
-        }
-        suspect = now >= next_test && rise > std::log(kSharedRise) && traffic < calm_traffic * kSharedLoad;
-        if (suspect && turn % 2 == 1) {
-            withheld_until = stage_at + (turn + 1) * kWithhold;
-            withheld_rise = rise;
-            withheld_traffic = traffic;
-        }
-        return recoveries >= (terms.instances <= kFewRouters ? 2 : 3);
+        const bool risen = trial_runs() && better_excess - calm_excess > std::log(kSharedRise);
+        const bool unexplained =
+            peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
+        if (!risen || !unexplained)
+            suspect_since = -1;
+        else if (suspect_since < 0)
+            suspect_since = now;
+        return suspect_since >= 0 && now - suspect_since > kSharedFor;
     }
 
     Verdict judgement() {
@@ -752,12 +756,12 @@
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
         if (slow && !slow_explained(seen.slow)) return back("latency", seen, std::exp(seen.slow));
-        if (slows_all()) return back("slowing all", seen, std::exp(fleet_excess - calm_excess));
+        if (slows_all()) return back("slowing all", seen, std::exp(better_excess - calm_excess));
         if (terms.rollout.advance == Advance::timer) {
             const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
-            return doubtful || slow || recoveries > 0 ? Verdict::hold : Verdict::none;
+            return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
         }
-        if (failing || slow || suspect || withheld_until > now || recoveries > 0) return Verdict::none;
+        if (failing || slow || suspect_since >= 0) return Verdict::none;
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
         if (last && trial_warmth() < kWarmEnough) return Verdict::none;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -115,10 +115,9 @@
     double traffic = 0, calm_traffic = 0; // arrivals a second: of late, and when the trial began
     Ticks traffic_at = 0;
     int arrivals = 0;
-    double fleet_excess = 0, calm_excess = 0, withheld_rise = 0, withheld_traffic = 0;
-    Ticks withheld_until = 0, next_test = 0;
-    int recoveries = 0;
-    bool suspect = false;
+    double fleet_excess = 0, better_excess = 0, calm_excess = 0; // of the earlier hosts: median, best quarter
+    double peak_traffic = 0, sound = 0, calm_sound = 0;
+    Ticks suspect_since = -1;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
