Latency and slowing-all judged only beside enough earlier hosts; pace remembered

Cause: with the earlier hosts nearly gone, their last figures stood for all and good builds went back late; with no warm host the push allowed to cold ones fell to nothing.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,11 +25,13 @@
 constexpr Ticks kVoteRetry = 3000;      // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;      // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
+constexpr std::size_t kBesides = 50;    // latencies of the earlier build at the same time, to compare with
 constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still, machines differ
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
 constexpr double kExplained = 0.7;      // an earlier host this near the trial's figure explains it
 constexpr double kPeakFade = 0.985;     // a beat, of the peak that traffic is remembered by
+constexpr double kMinority = 0.6;       // trial's part up to which the earlier hosts can bear witness
 constexpr double kSharedRise = 1.5;     // rise of every host's latency since the trial began
 constexpr double kSharedLoad = 1.15;    // that more traffic does not explain
 constexpr double kSharedSound = 0.85;   // nor fewer sound hosts
@@ -67,6 +69,7 @@
 constexpr double kLeastWorth = 0.8;   // share of the limit open to the least useful method
 constexpr double kOverShare = 0.5;    // share of the limit open to a tenant past its quota
 constexpr double kColdSafety = 0.5;   // of the push that a cold host stands
+constexpr double kPaceFade = 0.997;   // a beat: what warm hosts took is remembered while none are left
 constexpr int kColdFloor = 2;         // picks a window that are always allowed
 constexpr Ticks kBeat = 1000;         // how often standing matters are looked at
 constexpr Ticks kAskAgain = 8000;     // first wait after a failed call for the list; doubles
@@ -168,7 +171,7 @@
             if (usable(host) && host.rest_until <= now && fails(host) < kBackShare) sound += weight(host);
             if (usable_earlier(host)) excess.push_back(host.excess);
         }
-        if (warm > 0) pace += (warm_picks.size() / warm - pace) * 0.2;
+        if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
         if (!excess.empty()) {
             fleet_excess = median(excess);
             std::sort(excess.begin(), excess.end());
@@ -653,10 +656,7 @@
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
         std::map<int, std::vector<double>> excess;
-        std::vector<double> beside;
-        for (const Sample &sample : earlier)
-            if (sample.timed && sample.at > now - kEvidenceAge / 2) beside.push_back(sample.excess);
-        const double usual_excess = beside.size() >= kSlowSample ? median(beside) : fleet_excess;
+        std::vector<double> beside, medians;
         for (const Sample &sample : build.samples) {
             if (sample.at < now - kEvidenceAge) continue;
             seen.all.add(1, sample.failed);
@@ -666,14 +666,15 @@
             if (sample.timed && sample.at > now - kEvidenceAge / 2)
                 excess[sample.host].push_back(sample.excess);
         }
-        std::vector<double> medians;
+        for (const Sample &sample : earlier)
+            if (sample.timed && sample.at > now - kEvidenceAge / 2) beside.push_back(sample.excess);
         for (auto &[host, values] : excess)
-            if (values.size() >= kSlowSample) medians.push_back(median(values) - usual_excess);
+            if (values.size() >= kSlowSample && beside.size() >= kBesides) medians.push_back(median(values));
         if (medians.empty()) return seen;
         // A slow build is slow on every host: the better hosts speak, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
         std::sort(medians.begin(), medians.end());
-        seen.slow = medians[medians.size() / 4];
+        seen.slow = medians[medians.size() / 4] - median(beside);
         seen.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / static_cast<double>(medians.size())));
         return seen;
     }
@@ -732,7 +733,8 @@
     // of its own; covers builds whose retries swamp the rest. May blame the build for a trouble that strikes
     // every host at once during a trial.
     bool slows_all() {
-        const bool risen = trial_runs() && better_excess - calm_excess > std::log(kSharedRise);
+        const bool risen =
+            trial_runs() && trial_part() < kMinority && better_excess - calm_excess > std::log(kSharedRise);
         const bool unexplained =
             peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
         if (!risen || !unexplained)
