--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,7 @@
 constexpr double kSharedRise = 1.5;     // rise of every host's latency since the trial began
 constexpr double kSharedLoad = 1.15;    // that more traffic does not explain
 constexpr double kSharedSound = 0.85;   // nor fewer sound hosts
+constexpr int kTallyLag = 3;            // times as long, where the fleet's traffic is known late
 constexpr Ticks kSharedFor = 20000;     // and that lasts
 constexpr double kCopyBeside = 0.2;     // copies beside real traffic, over the trial's part of it
 
@@ -77,21 +78,12 @@
 constexpr Ticks kPause = 3000;        // advice to a client that is pushed back
 constexpr double kLeastRating = 0.05; // a rating of nothing would divide by nothing
 
-bool proves_unrun(Outcome end) {
-    return end == Outcome::no_room || end == Outcome::no_route || end == Outcome::stale;
-}
-
-bool diverges(Outcome end) {
-    return end == Outcome::fault || end == Outcome::too_slow || end == Outcome::cut;
-}
-
-} // namespace
-
-struct Router::State : Instance {
-    State(Terms given, std::uint64_t seed) {
+class Decider final : public Router, Instance {
+  public:
+    Decider(Terms given, std::uint64_t seed) {
         terms = std::move(given);
         budget = kBudgetMost / 2;
-        voted_at = -kVoteRetry;
+
         rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
         usual.assign(terms.methods.size(), 0);
         usual_count.assign(terms.methods.size(), 0);
@@ -100,37 +92,9 @@
     }
 
     // --- bookkeeping ---
-    bool on_trial(int build) const {
-        return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
-    }
-    bool trial_runs() const { return has_news && known.phase == Phase::on_trial; }
-    bool watching() const { return has_news && known.phase == Phase::released; }
     double cap(int build) const { return build == known.build ? known.cap : terms.rollout.caps.front(); }
-    bool usable(const Host &host) const { return host.listed && host.entry.standing == Standing::ready; }
-    bool usable_earlier(const Host &host) const { return usable(host) && !on_trial(host.entry.build); }
     double rating(const Host &host) const { return std::max(kLeastRating, host.entry.rating); }
     double weight(const Host &host) const { return rating(host) * warmth(host); }
-    const Method &method_of(const Rpc &rpc) const { return terms.methods[rpc.from.method]; }
-
-    Build &of(int number) {
-        Build &build = builds[number];
-        build.range.resize(terms.methods.size());
-        build.proven.resize(terms.methods.size());
-        build.picked.resize(terms.methods.size());
-        return build;
-    }
-
-    void log(const std::string &form, double a, double b, double c) {
-        char line[120];
-        std::snprintf(line, sizeof line, form.c_str(), a, b, c);
-        lines.emplace_back(line);
-    }
-
-    void enqueue(Rpc &rpc) {
-        if (!rpc.queued) todo.push_back(rpc.from.id);
-        rpc.queued = true;
-    }
-
     double warmth(const Host &host) const {
         if (host.entry.started <= 0) return 1;
         const double grown =
@@ -147,7 +111,7 @@
                                    : terms.methods[method].soft_deadline * kLookLeast;
     }
 
-    void clock(Ticks at) {
+    void clock(Ticks at) override {
         now = std::max(now, at);
         for (; !due.empty() && due.top().first <= now; due.pop())
             if (const auto found = rpcs.find(due.top().second); found != rpcs.end()) enqueue(found->second);
@@ -177,7 +141,11 @@
             std::sort(excess.begin(), excess.end());
             better_excess = excess[excess.size() / 4];
         }
-        peak_traffic = std::max(traffic, peak_traffic * kPeakFade);
+        // The fleet's traffic by tallies where there are any: other routers' bursts are not in our arrivals.
+        double offered = traffic, tallied_picks = 0;
+        for (const auto &[at, row] : tallies) tallied_picks += at > now - kEvidenceAge / 2 ? row.picks : 0;
+        if (!tallies.empty()) offered = tallied_picks;
+        peak_traffic = std::max(offered, peak_traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
         if (served.picks >= kBackPairs) earlier_fails = served.share();
@@ -198,25 +166,7 @@
         }
     }
 
-    void list(const std::vector<HostEntry> &entries, bool whole) {
-        for (Host &host : hosts) host.listed = host.listed && !whole;
-        for (const HostEntry &entry : entries) {
-            const auto [at, fresh] = host_at.try_emplace(entry.id, static_cast<int>(hosts.size()));
-            if (fresh) hosts.push_back(Host{entry});
-            Host &host = hosts[at->second];
-            if (entry.started != host.entry.started || entry.build != host.entry.build) {
-                const int held = host.open;
-                host = Host{entry};
-                host.open = held;
-                host.quiet_since = now;
-            }
-            host.entry = entry;
-            host.listed = entry.standing != Standing::gone;
-        }
-        ask_wait = 0;
-    }
-
-    void arrive(Arrival from) {
+    void arrived(Arrival from) override {
         taken.at(from.method).push_back(now);
         arrivals += !from.retry;
         budget = std::min(kBudgetMost, budget + kBudgetShare);
@@ -312,8 +262,8 @@
         judge(rpc, *copy, copy->outcome != Outcome::ok, excess_of(*copy, rpc.from.method, took));
     }
 
-    void end(const std::string &id, int number, Outcome outcome, Ticks took, bool complete,
-             const std::vector<double> &report) {
+    void ended(const std::string &id, int number, Outcome outcome, Ticks took, bool complete,
+               const std::vector<double> &report) override {
         const auto found = rpcs.find(id);
         if (found == rpcs.end() || number < 0) return;
         Rpc &rpc = found->second;
@@ -334,31 +284,27 @@
         enqueue(rpc);
     }
 
-    void note_report(Host &host, const std::vector<double> &report) {
-        for (std::size_t i = 0; i < report.size() && i < terms.report_fields.size(); ++i) {
-            const bool waiting = terms.report_fields[i] == "backlog";
-            if (!waiting && terms.report_fields[i] != "outstanding") continue;
-            host.held = waiting ? host.open + report[i] : report[i];
-            host.held_at = now;
-        }
-    }
+    void list(const std::vector<HostEntry> &entries, bool whole) override { take_list(entries, whole); }
+    void flagged(const std::string &host, Ticks age) override { take_flag(host, age); }
+    void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
 
-    void flag(const std::string &id, Ticks age) {
-        const auto at = host_at.find(id);
-        if (at == host_at.end()) return;
-        const HostEntry &entry = hosts[at->second].entry;
-        if (entry.started <= now - age) of(entry.build).flags += 1; // else another process answered
+    void finished(const std::string &id) override {
+        const auto found = rpcs.find(id);
+        if (found == rpcs.end()) return;
+        found->second.done = true;
+        enqueue(found->second);
     }
 
-    void take_news(const News &told) {
+    void news(const News &told) override {
         if (told.answers_vote) vote_counts = told.valid;
         if (!told.valid) return;
         const bool other = !has_news || told.build != known.build;
         if (other || told.stage != known.stage || told.phase != known.phase) {
             if (other || told.phase != known.phase) {
-                calm_traffic = traffic;
+                calm_traffic = peak_traffic;
                 calm_excess = better_excess;
                 calm_sound = sound;
+                calm_limited = limit > 0;
                 suspect_since = -1;
             }
             stage_at = now - told.age;
@@ -394,11 +340,6 @@
         return unrun(rpc);
     }
 
-    bool unrun(const Rpc &rpc) const {
-        return std::all_of(rpc.picks.begin(), rpc.picks.end(),
-                           [](const Pick &pick) { return !pick.open && proves_unrun(pick.outcome); });
-    }
-
     // Rule 5: room under the cap for one more pick of this method at this build.
     bool room_on_trial(int number, int method) {
         const int stage = number == known.build ? known.stage : 0;
@@ -484,11 +425,6 @@
         return best >= 0 ? best : last;
     }
 
-    bool used(const Rpc &rpc, int target) const {
-        return std::any_of(rpc.picks.begin(), rpc.picks.end(),
-                           [&](const Pick &p) { return p.host == target; });
-    }
-
     // --- the mechanism ---
     // The trial's part of the capacity, its cold hosts counted for what they can do by now.
     double trial_part() const {
@@ -716,13 +652,6 @@
                at->second.answers * (bad_rate - usual_rate);
     }
 
-    Count tallied(int build, int method) const {
-        Count count;
-        for (const auto &[at, row] : tallies)
-            if (row.build == build && row.method == method) count.add(row.picks, row.failed);
-        return count;
-    }
-
     bool fails_much(const Count &count, int least, double share, double usual_share) const {
         return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
                count.failed > (share + usual_share) * count.picks;
@@ -733,15 +662,15 @@
     // of its own; covers builds whose retries swamp the rest. May blame the build for a trouble that strikes
     // every host at once during a trial.
     bool slows_all() {
-        const bool risen =
-            trial_runs() && trial_part() < kMinority && better_excess - calm_excess > std::log(kSharedRise);
+        const bool witnessed = trial_runs() && known.stage > 0 && trial_part() < kMinority && !calm_limited;
+        const bool risen = witnessed && better_excess - calm_excess > std::log(kSharedRise);
         const bool unexplained =
             peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
         if (!risen || !unexplained)
             suspect_since = -1;
         else if (suspect_since < 0)
             suspect_since = now;
-        return suspect_since >= 0 && now - suspect_since > kSharedFor;
+        return suspect_since >= 0 && now - suspect_since > kSharedFor * (tallies.empty() ? 1 : kTallyLag);
     }
 
     Verdict judgement() {
@@ -779,23 +708,24 @@
     }
 
     Decision vote() {
-        if (!(trial_runs() || watching()) || now < voted_at + kVoteRetry) return {};
+        if (!(trial_runs() || watching()) || now < judge_at) return {};
+        judge_at = now + kBeat;
         const Verdict verdict = judgement();
         if (verdict == Verdict::none && voted == Verdict::none) return {};
         const Ticks stands = std::min(kVoteRenewal, terms.rollout.vote_life * 2 / 3);
-        if (verdict == voted && vote_counts && now < voted_at + stands) return {};
+        if (verdict == voted && now < voted_at + (vote_counts ? stands : kVoteRetry)) return {};
         voted = verdict;
         voted_at = now;
         vote_counts = false;
         return {.act = Act::vote, .build = known.build, .stage = known.stage, .verdict = verdict};
     }
 
-    void list_failed() {
+    void list_failed() override {
         ask_wait = std::clamp(ask_wait * 2, kAskAgain, kAskMost);
         ask_at = now + ask_wait + static_cast<Ticks>(ask_wait * 0.25 * rng.unit());
     }
 
-    Decision next() {
+    Decision next() override {
         for (; !todo.empty(); todo.pop_front()) {
             const auto found = rpcs.find(todo.front());
             if (found == rpcs.end()) continue;
@@ -822,28 +752,9 @@
         return {.act = Act::wake, .span = armed};
     }
 };
+} // namespace
 
-Router::Router(Terms terms, std::uint64_t seed) : state_(std::make_unique<State>(std::move(terms), seed)) {}
-Router::~Router() = default;
-Router::Router(Router &&) noexcept = default;
-Router &Router::operator=(Router &&) noexcept = default;
-
-void Router::clock(Ticks now) { state_->clock(now); }
-void Router::hosts(const std::vector<HostEntry> &entries, bool whole) { state_->list(entries, whole); }
-void Router::list_failed() { state_->list_failed(); }
-void Router::arrived(Arrival arrival) { state_->arrive(std::move(arrival)); }
-void Router::ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
-                   const std::vector<double> &report) {
-    state_->end(rpc, pick, outcome, took, complete, report);
-}
-void Router::finished(const std::string &rpc) {
-    const auto found = state_->rpcs.find(rpc);
-    if (found == state_->rpcs.end()) return;
-    found->second.done = true;
-    state_->enqueue(found->second);
+std::unique_ptr<Router> make_router(Terms terms, std::uint64_t seed) {
+    return std::make_unique<Decider>(std::move(terms), seed);
 }
-void Router::flagged(const std::string &host, Ticks age) { state_->flag(host, age); }
-void Router::news(const News &news) { state_->take_news(news); }
-void Router::tally(const Tally &tally) { state_->tallies.emplace_back(state_->now - tally.age, tally); }
-Decision Router::next() { return state_->next(); }
 } // namespace pineridge
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -129,29 +129,24 @@
 
 class Router {
   public:
-    Router(Terms terms, std::uint64_t seed);
-    ~Router();
-    Router(Router &&) noexcept;
-    Router &operator=(Router &&) noexcept;
+    virtual ~Router() = default;
 
     // Inputs: each only updates what is known.
-    void clock(Ticks now);
-    void hosts(const std::vector<HostEntry> &entries, bool whole);
-    void list_failed();
-    void arrived(Arrival arrival);
-    void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
-               const std::vector<double> &report);
-    void finished(const std::string &rpc); // the client left, or owns the stream that has started
-    void flagged(const std::string &host, Ticks age);
-    void news(const News &news);
-    void tally(const Tally &tally);
+    virtual void clock(Ticks now) = 0;
+    virtual void list(const std::vector<HostEntry> &entries, bool whole) = 0;
+    virtual void list_failed() = 0;
+    virtual void arrived(Arrival arrival) = 0;
+    virtual void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
+                       const std::vector<double> &report) = 0;
+    virtual void finished(const std::string &rpc) = 0; // the client left, or owns the stream that has started
+    virtual void flagged(const std::string &host, Ticks age) = 0;
+    virtual void news(const News &told) = 0;
+    virtual void tally(const Tally &row) = 0;
 
     // The next decision, until one of act none.
-    Decision next();
-
-  private:
-    struct State;
-    std::unique_ptr<State> state_;
+    virtual Decision next() = 0;
 };
 
+std::unique_ptr<Router> make_router(Terms terms, std::uint64_t seed);
+
 } // namespace pineridge
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -249,14 +249,13 @@
     if (cmd == "SPAWN") {
         const json &seed = need(event, "rngSeed");
         if (!seed.is_number_integer()) wrong("rngSeed", "not a whole number");
-        routers_.insert_or_assign(who,
-                                  Router(read_terms(need(event, "profileData")), seed.get<std::uint64_t>()));
-        routers_.at(who).clock(now);
+        routers_[who] = make_router(read_terms(need(event, "profileData")), seed.get<std::uint64_t>());
+        routers_[who]->clock(now);
         return;
     }
     const auto at = routers_.find(who);
     if (at == routers_.end()) wrong("who", "an instance that has not started");
-    Router &router = at->second;
+    Router &router = *at->second;
     router.clock(now);
     if (cmd == "DEADLINE_HIT") return;
     if (cmd == "ARRIVAL") return router.arrived(read_arrival(event));
@@ -267,7 +266,7 @@
         const int kind = whole(event, "kind");
         if (kind == 3) return router.list_failed();
         if (kind < 0 || kind > 3) wrong("kind", "out of range");
-        return router.hosts(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
+        return router.list(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
     }
     if (cmd == "EXPIRED") return router.finished(text(event, "tid"));
     if (cmd == "STEP_NEWS") return router.news(read_news(event));
@@ -296,7 +295,7 @@
         for (const std::string &who : touched) {
             const auto at = routers_.find(who);
             if (at == routers_.end()) continue;
-            for (Decision d = at->second.next(); d.act != Act::none; d = at->second.next())
+            for (Decision d = at->second->next(); d.act != Act::none; d = at->second->next())
                 actions.push_back(action(who, d));
         }
     } catch (const BadInput &bad) {
--- a/src/simhost/reader.hpp
+++ b/src/simhost/reader.hpp
@@ -29,7 +29,7 @@
   private:
     void take(const nlohmann::json &event, Ticks now, std::vector<std::string> &touched);
 
-    std::map<std::string, Router> routers_;
+    std::map<std::string, std::unique_ptr<Router>> routers_;
     std::array<std::vector<HostEntry>, 16> sheets_;
 };
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -1,10 +1,13 @@
 // What the module remembers, grouped by how long it lives: one pick, one RPC, one host, one build, the
-// instance. No decision and no tuned value is here; src/logic.cpp sets what does not start at nothing.
+// instance; and the bookkeeping that only notes what was told. No decision and no tuned value is here:
+// src/logic.cpp sets what does not start at nothing.
 #pragma once
 
 #include "chance.hpp"
 #include "logic.hpp"
 
+#include <algorithm>
+#include <cstdio>
 #include <deque>
 #include <map>
 #include <queue>
@@ -13,6 +16,14 @@
 
 namespace pineridge {
 
+inline bool proves_unrun(Outcome end) {
+    return end == Outcome::no_room || end == Outcome::no_route || end == Outcome::stale;
+}
+
+inline bool diverges(Outcome end) {
+    return end == Outcome::fault || end == Outcome::too_slow || end == Outcome::cut;
+}
+
 struct Pick {
     int host;
     int build;
@@ -112,19 +123,100 @@
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0;  // picks a second at warm hosts, for each unit of rating
     std::deque<Ticks> warm_picks;
-    double traffic = 0, calm_traffic = 0; // arrivals a second: of late, and when the trial began
+    double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
     double fleet_excess = 0, better_excess = 0, calm_excess = 0; // of the earlier hosts: median, best quarter
-    double peak_traffic = 0, sound = 0, calm_sound = 0;
+    double peak_traffic = 0, calm_traffic = 0;                   // of late, and when the trial began
+    double sound = 0, calm_sound = 0;
+    bool calm_limited = false;
     Ticks suspect_since = -1;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
-    Ticks stage_at = 0, voted_at = 0;
+    Ticks stage_at = 0, voted_at = 0, judge_at = 0;
     Verdict voted = Verdict::none;
     bool vote_counts = false;
     Ticks ask_at = 0, ask_wait = 0; // ask_at < 0: a call is out or a subscription stands
+
+    bool on_trial(int build) const {
+        return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
+    }
+    bool trial_runs() const { return has_news && known.phase == Phase::on_trial; }
+    bool watching() const { return has_news && known.phase == Phase::released; }
+    bool usable(const Host &host) const { return host.listed && host.entry.standing == Standing::ready; }
+    bool usable_earlier(const Host &host) const { return usable(host) && !on_trial(host.entry.build); }
+    const Method &method_of(const Rpc &rpc) const { return terms.methods[rpc.from.method]; }
+
+    Build &of(int number) {
+        Build &build = builds[number];
+        build.range.resize(terms.methods.size());
+        build.proven.resize(terms.methods.size());
+        build.picked.resize(terms.methods.size());
+        return build;
+    }
+
+    void log(const std::string &form, double a, double b, double c) {
+        char line[120];
+        std::snprintf(line, sizeof line, form.c_str(), a, b, c);
+        lines.emplace_back(line);
+    }
+
+    void enqueue(Rpc &rpc) {
+        if (!rpc.queued) todo.push_back(rpc.from.id);
+        rpc.queued = true;
+    }
+
+    void take_list(const std::vector<HostEntry> &entries, bool whole) {
+        for (Host &host : hosts) host.listed = host.listed && !whole;
+        for (const HostEntry &entry : entries) {
+            const auto [at, fresh] = host_at.try_emplace(entry.id, static_cast<int>(hosts.size()));
+            if (fresh) hosts.push_back(Host{entry});
+            Host &host = hosts[at->second];
+            if (entry.started != host.entry.started || entry.build != host.entry.build) {
+                const int held = host.open;
+                host = Host{entry};
+                host.open = held;
+                host.quiet_since = now;
+            }
+            host.entry = entry;
+            host.listed = entry.standing != Standing::gone;
+        }
+        ask_wait = 0;
+    }
+
+    void note_report(Host &host, const std::vector<double> &report) {
+        for (std::size_t i = 0; i < report.size() && i < terms.report_fields.size(); ++i) {
+            const bool waiting = terms.report_fields[i] == "backlog";
+            if (!waiting && terms.report_fields[i] != "outstanding") continue;
+            host.held = waiting ? host.open + report[i] : report[i];
+            host.held_at = now;
+        }
+    }
+
+    void take_flag(const std::string &id, Ticks age) {
+        const auto at = host_at.find(id);
+        if (at == host_at.end()) return;
+        const HostEntry &entry = hosts[at->second].entry;
+        if (entry.started <= now - age) of(entry.build).flags += 1; // else another process answered
+    }
+
+    bool unrun(const Rpc &rpc) const {
+        return std::all_of(rpc.picks.begin(), rpc.picks.end(),
+                           [](const Pick &pick) { return !pick.open && proves_unrun(pick.outcome); });
+    }
+
+    bool used(const Rpc &rpc, int target) const {
+        return std::any_of(rpc.picks.begin(), rpc.picks.end(),
+                           [&](const Pick &p) { return p.host == target; });
+    }
+
+    Count tallied(int build, int method) const {
+        Count count;
+        for (const auto &[at, row] : tallies)
+            if (row.build == build && row.method == method) count.add(row.picks, row.failed);
+        return count;
+    }
 };
 
 } // namespace pineridge
