--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -20,26 +20,29 @@
 constexpr int kHoldPairs = 10;          // over so many pairs
 constexpr int kOnPairs = 20;            // pairs in the stage before a vote on
 constexpr int kOnDivergences = 1;       // at most so many of them diverging
+constexpr double kOnShare = 0.01;       // and so much of a large sample: machines fail a little anyway
 constexpr Ticks kOnAnyway = 30000;      // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000;   // votes renew
 constexpr Ticks kVoteRetry = 3000;      // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;      // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
 constexpr std::size_t kBesides = 50;    // latencies of the earlier build at the same time, to compare with
-constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still, machines differ
+constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
+constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still: machines differ
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
-constexpr double kExplained = 0.7;      // an earlier host this near the trial's figure explains it
-constexpr double kPeakFade = 0.985;     // a beat, of the peak that traffic is remembered by
-constexpr double kMinority = 0.6;       // trial's part up to which the earlier hosts can bear witness
-constexpr double kSharedRise = 1.5;     // rise of every host's latency since the trial began
-constexpr double kSharedLoad = 1.15;    // that more traffic does not explain
-constexpr double kSharedSound = 0.85;   // nor fewer sound hosts
-constexpr int kTallyLag = 3;            // times as long, where the fleet's traffic is known late
-constexpr Ticks kSharedFor = 20000;     // and that lasts
-constexpr double kCopyBeside = 0.2;     // copies beside real traffic, over the trial's part of it
+
+constexpr double kPeakFade = 0.985;   // a beat, of the peak that traffic is remembered by
+constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
+constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
+constexpr double kSharedLoad = 1.15;  // that more traffic does not explain
+constexpr double kSharedSound = 0.85; // nor fewer sound hosts
+constexpr int kTallyLag = 3;          // times as long, where the fleet's traffic is known late
+constexpr Ticks kSharedFor = 20000;   // and that lasts
+constexpr double kCopyBeside = 0.2;   // copies beside real traffic, over the trial's part of it
 
 constexpr double kWarmEnough = 0.85; // of the trial hosts' capacity, before the earlier ones are let go
+constexpr Ticks kWatch = 100000;     // a released build is held against the earlier one's latency
 constexpr double kFlagProof = 5.0;   // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 300;   // answers' worth of belief in few false complaints
@@ -133,7 +136,7 @@
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
             if (usable(host) && host.rest_until <= now && fails(host) < kBackShare) sound += weight(host);
-            if (usable_earlier(host)) excess.push_back(host.excess);
+            if (usable_earlier(host) && now - host.entry.started > kColdSkip) excess.push_back(host.excess);
         }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
         if (!excess.empty()) {
@@ -214,7 +217,7 @@
             if (!pick.copy && (served || diverged)) judge(rpc, pick, diverged, excess);
             return;
         }
-        if (served && !trial_runs()) {
+        if (served && !trial_runs() && !fresh_release()) {
             usual[method] += excess * std::max(1.0 / ++usual_count[method], 0.004);
             if (usual_count[method] > 20) kind_excess[host.entry.kind] += excess * 0.01;
         }
@@ -300,9 +303,11 @@
         if (!told.valid) return;
         const bool other = !has_news || told.build != known.build;
         if (other || told.stage != known.stage || told.phase != known.phase) {
-            if (other || told.phase != known.phase) {
+            if (trial_runs() && told.phase == Phase::released && !other) released_at = now;
+            if (other || (told.phase != known.phase && told.phase != Phase::released)) {
                 calm_traffic = peak_traffic;
                 calm_excess = better_excess;
+                calm_fleet = fleet_excess;
                 calm_sound = sound;
                 calm_limited = limit > 0;
                 suspect_since = -1;
@@ -435,6 +440,8 @@
         return places > 0 ? std::min(1.0, there / places) : 1;
     }
 
+    bool fresh_release() const { return watching() && released_at >= 0 && now - released_at < kWatch; }
+
     double trial_warmth() const {
         double now_able = 0, in_full = 0;
         for (const Host &host : hosts)
@@ -606,12 +613,15 @@
             if (sample.timed && sample.at > now - kEvidenceAge / 2) beside.push_back(sample.excess);
         for (auto &[host, values] : excess)
             if (values.size() >= kSlowSample && beside.size() >= kBesides) medians.push_back(median(values));
-        if (medians.empty()) return seen;
-        // A slow build is slow on every host: the better hosts speak, and few hosts must speak louder. Stops
+        if (medians.empty() || trial_part() > kMinority) return seen;
+        // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
         std::sort(medians.begin(), medians.end());
-        seen.slow = medians[medians.size() / 4] - median(beside);
-        seen.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / static_cast<double>(medians.size())));
+        // Beside a trial that took traffic off them the earlier hosts run lighter than before: the higher
+        // counts.
+        seen.slow = medians[(medians.size() - 1) / 2] - std::max(median(beside), calm_fleet);
+        const double ratio = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
+        seen.slow_bar = std::log(ratio * (1 + kFewHosts / static_cast<double>(medians.size())));
         return seen;
     }
 
@@ -629,16 +639,6 @@
         });
     }
 
-    bool slow_explained(double slow) const {
-        int alike = 0, all = 0;
-        for (const Host &host : hosts) {
-            if (!usable_earlier(host)) continue;
-            ++all;
-            alike += host.excess - fleet_excess > slow * kExplained;
-        }
-        return alike * 8 > all;
-    }
-
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
     double flag_odds(int number) const {
         const auto at = builds.find(number);
@@ -652,9 +652,12 @@
                at->second.answers * (bad_rate - usual_rate);
     }
 
+    // The share that speaks against a build falls as the sample grows, since chance has less room. Stops a
+    // build that fails a tenth of its picks, always or when busy, from passing under the first sample's bar.
     bool fails_much(const Count &count, int least, double share, double usual_share) const {
+        const double bar = share * std::sqrt(least / std::max<double>(least, count.picks));
         return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
-               count.failed > (share + usual_share) * count.picks;
+               count.failed > (bar + usual_share) * count.picks;
     }
 
     // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
@@ -662,7 +665,8 @@
     // of its own; covers builds whose retries swamp the rest. May blame the build for a trouble that strikes
     // every host at once during a trial.
     bool slows_all() {
-        const bool witnessed = trial_runs() && known.stage > 0 && trial_part() < kMinority && !calm_limited;
+        const bool in_trial = trial_runs() && known.stage > 0 && trial_part() < kMinority;
+        const bool witnessed = (in_trial || fresh_release()) && !calm_limited;
         const bool risen = witnessed && better_excess - calm_excess > std::log(kSharedRise);
         const bool unexplained =
             peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
@@ -684,10 +688,10 @@
             failing = failing || fails_much(tallied(known.build, i), kBackPairs, kMethodShare, before);
         }
         if (failing && !host_explains(seen)) return back("failures", seen, usual_share);
+        if (slows_all()) return back("slowing all", seen, std::exp(better_excess - calm_excess));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
-        if (slow && !slow_explained(seen.slow)) return back("latency", seen, std::exp(seen.slow));
-        if (slows_all()) return back("slowing all", seen, std::exp(better_excess - calm_excess));
+        if (slow) return back("latency", seen, std::exp(seen.slow));
         if (terms.rollout.advance == Advance::timer) {
             const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
             return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
@@ -696,7 +700,7 @@
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
         if (last && trial_warmth() < kWarmEnough) return Verdict::none;
-        const double borne = kOnDivergences + usual_share * seen.stage.picks;
+        const double borne = kOnDivergences + (usual_share + kOnShare) * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -126,11 +126,12 @@
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
-    double fleet_excess = 0, better_excess = 0, calm_excess = 0; // of the earlier hosts: median, best quarter
-    double peak_traffic = 0, calm_traffic = 0;                   // of late, and when the trial began
+    double fleet_excess = 0, better_excess = 0, calm_excess = 0,
+           calm_fleet = 0;                     // of the earlier hosts: median, best quarter
+    double peak_traffic = 0, calm_traffic = 0; // of late, and when the trial began
     double sound = 0, calm_sound = 0;
     bool calm_limited = false;
-    Ticks suspect_since = -1;
+    Ticks suspect_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
