The draw yields where the trial's hosts are clearly fuller; watch against the past

Cause: under fast_errors the trial's hosts took a fixed share while lost hosts left no slack, jammed, and a good build went back for latency.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,12 +33,14 @@
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
 
 constexpr double kPeakFade = 0.985;   // a beat, of the peak that traffic is remembered by
+constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
 constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
 constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
 constexpr double kSharedLoad = 1.15;  // that more traffic does not explain
 constexpr double kSharedSound = 0.85; // nor fewer sound hosts
 constexpr int kTallyLag = 3;          // times as long, where the fleet's traffic is known late
 constexpr Ticks kSharedFor = 20000;   // and that lasts
+constexpr double kFuller = 1.5;       // cost of the trial's best host over the earlier one's: clearly fuller
 constexpr double kCopyBeside = 0.2;   // copies beside real traffic, over the trial's part of it
 
 constexpr double kWarmEnough = 0.85; // of the trial hosts' capacity, before the earlier ones are let go
@@ -109,6 +111,17 @@
         return host.fails * std::exp2(-static_cast<double>(now - host.fails_at) / kForgive);
     }
 
+    bool well(const Host &host) const { return host.rest_until <= now && fails(host) < kBackShare; }
+
+    // Has this held for so long? A figure that tops its bar for a moment, as queues jump, is no verdict.
+    bool lasts(bool held, Ticks &since, Ticks span) const {
+        if (!held)
+            since = -1;
+        else if (since < 0)
+            since = now;
+        return held && now - since > span;
+    }
+
     double usual_latency(int method) const {
         return usual_count[method] ? std::exp(usual[method])
                                    : terms.methods[method].soft_deadline * kLookLeast;
@@ -135,7 +148,7 @@
         std::vector<double> excess;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
-            if (usable(host) && host.rest_until <= now && fails(host) < kBackShare) sound += weight(host);
+            if (usable(host) && well(host)) sound += weight(host);
             if (usable_earlier(host) && now - host.entry.started > kColdSkip) excess.push_back(host.excess);
         }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
@@ -151,7 +164,7 @@
         peak_traffic = std::max(offered, peak_traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
-        if (served.picks >= kBackPairs) earlier_fails = served.share();
+        if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
         bend_limit();
     }
 
@@ -196,8 +209,10 @@
     void learn(const Rpc &rpc, const Pick &pick, Ticks took) {
         Host &host = hosts[pick.host];
         const int method = rpc.from.method;
-        const bool served = pick.outcome == Outcome::ok, diverged = diverges(pick.outcome);
-        const bool failed = diverged || pick.outcome == Outcome::no_route;
+        // In a jam time-outs tell of the load; only then are they left out of the evidence.
+        const bool jam = limit > 0 && pick.outcome == Outcome::too_slow;
+        const bool served = pick.outcome == Outcome::ok, diverged = diverges(pick.outcome) && !jam;
+        const bool failed = diverges(pick.outcome) || pick.outcome == Outcome::no_route;
         if (pick.outcome == Outcome::no_room) host.full_until = now + kBeat / 2;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
@@ -407,7 +422,7 @@
         return cost * (0.9 + 0.2 * rng.unit());
     }
 
-    int choose(const Rpc &rpc, bool trial) {
+    int choose(const Rpc &rpc, bool trial, double *price_of = nullptr) {
         int favourite = -1, best = -1, last = -1;
         double least = 0, least_last = 0;
         std::uint64_t top = 0;
@@ -427,6 +442,7 @@
                 best = i, least = price;
             }
         }
+        if (price_of) *price_of = best >= 0 ? least : least_last;
         return best >= 0 ? best : last;
     }
 
@@ -435,7 +451,7 @@
     double trial_part() const {
         double there = 0, before = 0;
         for (const Host &host : hosts)
-            if (usable(host)) (on_trial(host.entry.build) ? there : before) += weight(host);
+            if (usable(host) && well(host)) (on_trial(host.entry.build) ? there : before) += weight(host);
         const double places = terms.rollout.replaces ? before + there : before;
         return places > 0 ? std::min(1.0, there / places) : 1;
     }
@@ -549,14 +565,21 @@
         const Method &method = method_of(rpc);
         const bool open_trial = trial_runs();
         const bool drawn = open_trial && rpc.place < trial_share(rpc.from.method);
-        int target = drawn ? choose(rpc, true) : -1;
-        if (target < 0) target = choose(rpc, false);
+        const bool copyable = open_trial && terms.second_copies && method.repeat == Repeat::idempotent &&
+                              !rpc.from.retry && limit <= 0 && !method.stream;
+        double price = 0, trial_price = 0;
+        const int newer = drawn || copyable ? choose(rpc, true, &trial_price) : -1;
+        int target = choose(rpc, false, &price);
+        // The draw yields where the trial's hosts are clearly fuller. Stops the hand-over from jamming them
+        // while others have room: cold or lost hosts, popular keys, a slow build; the build is judged on
+        // fewer picks.
+        const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
+        if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
         if (target < 0) return finish(rpc, true);
-        rpc.want_copy = open_trial && terms.second_copies && !on_trial(hosts[target].entry.build) &&
-                        method.repeat == Repeat::idempotent && !rpc.from.retry && limit <= 0 &&
-                        !method.stream && copy_drawn();
+        rpc.want_copy =
+            copyable && newer >= 0 && !fuller && !on_trial(hosts[target].entry.build) && copy_drawn();
         return send(rpc, target, false);
     }
 
@@ -670,11 +693,7 @@
         const bool risen = witnessed && better_excess - calm_excess > std::log(kSharedRise);
         const bool unexplained =
             peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
-        if (!risen || !unexplained)
-            suspect_since = -1;
-        else if (suspect_since < 0)
-            suspect_since = now;
-        return suspect_since >= 0 && now - suspect_since > kSharedFor * (tallies.empty() ? 1 : kTallyLag);
+        return lasts(risen && unexplained, suspect_since, kSharedFor * (tallies.empty() ? 1 : kTallyLag));
     }
 
     Verdict judgement() {
@@ -691,7 +710,7 @@
         if (slows_all()) return back("slowing all", seen, std::exp(better_excess - calm_excess));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
-        if (slow) return back("latency", seen, std::exp(seen.slow));
+        if (lasts(slow, slow_since, kSlowFor)) return back("latency", seen, std::exp(seen.slow));
         if (terms.rollout.advance == Advance::timer) {
             const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
             return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
