Votes back stand; failure bar falls with the sample; yielding trials are not voted on

Cause: votes back wavered away before they were counted; builds failing 2 to 10 in 100 when busy passed; a lone false complaint sent a good build back.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -16,6 +16,7 @@
 constexpr double kBackShare = 0.20;     // divergence share above the earlier build's own
 constexpr int kMethodPairs = 6;         // least sample for one method: effectful picks are dear to spend
 constexpr double kMethodShare = 0.35;   // and the share it needs, as the sample is small
+constexpr double kLeastShare = 0.02;    // that share falls with the sample, to this
 constexpr double kHoldShare = 0.10;     // timer: hold above this share
 constexpr int kHoldPairs = 10;          // over so many pairs
 constexpr int kOnPairs = 20;            // pairs in the stage before a vote on
@@ -41,13 +42,15 @@
 constexpr int kTallyLag = 3;          // times as long, where the fleet's traffic is known late
 constexpr Ticks kSharedFor = 20000;   // and that lasts
 constexpr double kFuller = 1.5;       // cost of the trial's best host over the earlier one's: clearly fuller
+constexpr double kYieldRate = 0.03;   // weight of the newest draw in the share that yields
+constexpr double kYieldMost = 0.35;   // yielding more, the trial is not voted on
 constexpr double kCopyBeside = 0.2;   // copies beside real traffic, over the trial's part of it
 
 constexpr double kWarmEnough = 0.85; // of the trial hosts' capacity, before the earlier ones are let go
 constexpr Ticks kWatch = 100000;     // a released build is held against the earlier one's latency
-constexpr double kFlagProof = 5.0;   // log odds that complaints follow the build
+constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
-constexpr double kFlagPrior = 300;   // answers' worth of belief in few false complaints
+constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
 
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1;     // weight of the newest outcome in a host's figures
@@ -323,6 +326,7 @@
                 calm_traffic = peak_traffic;
                 calm_excess = better_excess;
                 calm_fleet = fleet_excess;
+                yielding = 0;
                 calm_sound = sound;
                 calm_limited = limit > 0;
                 suspect_since = -1;
@@ -574,6 +578,7 @@
         // while others have room: cold or lost hosts, popular keys, a slow build; the build is judged on
         // fewer picks.
         const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
+        if (drawn && newer >= 0) yielding += (fuller - yielding) * kYieldRate;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
@@ -666,7 +671,7 @@
     double flag_odds(int number) const {
         const auto at = builds.find(number);
         if (terms.rollout.flag_share <= 0 || at == builds.end()) return 0;
-        double flags = 0.5, answers = kFlagPrior;
+        double flags = 1, answers = kFlagPrior;
         for (auto other = builds.begin(); other != at; ++other)
             flags += other->second.flags, answers += other->second.answers;
         const double usual_rate = flags / answers;
@@ -678,7 +683,7 @@
     // The share that speaks against a build falls as the sample grows, since chance has less room. Stops a
     // build that fails a tenth of its picks, always or when busy, from passing under the first sample's bar.
     bool fails_much(const Count &count, int least, double share, double usual_share) const {
-        const double bar = share * std::sqrt(least / std::max<double>(least, count.picks));
+        const double bar = std::max(kLeastShare, share * least / std::max<double>(least, count.picks));
         return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
                count.failed > (bar + usual_share) * count.picks;
     }
@@ -715,7 +720,8 @@
             const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
             return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
         }
-        if (failing || slow || suspect_since >= 0) return Verdict::none;
+        // A trial that others must spare load is not proven for more: slow builds, and those bad when busy.
+        if (failing || slow || suspect_since >= 0 || yielding > kYieldMost) return Verdict::none;
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
         if (last && trial_warmth() < kWarmEnough) return Verdict::none;
@@ -733,7 +739,9 @@
     Decision vote() {
         if (!(trial_runs() || watching()) || now < judge_at) return {};
         judge_at = now + kBeat;
-        const Verdict verdict = judgement();
+        // A vote back stands for its time: one that wavers with the last few samples may never be counted.
+        const bool stands_back = voted == Verdict::back && now < voted_at + kVoteRenewal;
+        const Verdict verdict = stands_back ? voted : judgement();
         if (verdict == Verdict::none && voted == Verdict::none) return {};
         const Ticks stands = std::min(kVoteRenewal, terms.rollout.vote_life * 2 / 3);
         if (verdict == voted && now < voted_at + (vote_counts ? stands : kVoteRetry)) return {};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -131,6 +131,7 @@
     double peak_traffic = 0, calm_traffic = 0; // of late, and when the trial began
     double sound = 0, calm_sound = 0;
     bool calm_limited = false;
+    double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
