--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,7 +6,6 @@
 #include "state.hpp"
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 
 namespace pineridge {
 namespace {
@@ -39,25 +38,25 @@
 constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
 constexpr double kSharedLoad = 1.15;  // that more traffic does not explain
 constexpr double kSharedSound = 0.85; // nor fewer sound hosts
-constexpr int kTallyLag = 3;          // times as long, where the fleet's traffic is known late
-constexpr Ticks kSharedFor = 20000;   // and that lasts
-constexpr double kFuller = 1.5;       // cost of the trial's best host over the earlier one's: clearly fuller
-constexpr double kYieldRate = 0.03;   // weight of the newest draw in the share that yields
-constexpr double kYieldMost = 0.35;   // yielding more, the trial is not voted on
-constexpr double kCopyBeside = 0.2;   // copies beside real traffic, over the trial's part of it
-
-constexpr double kWarmEnough = 0.85; // of the trial hosts' capacity, before the earlier ones are let go
+
+constexpr Ticks kSharedFor = 25000; // and that lasts, longer than tallies are late
+constexpr double kFuller = 1.5;     // cost of the trial's best host over the earlier one's: clearly fuller
+constexpr double kYieldRate = 0.03; // weight of the newest draw in the share that yields
+constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
+constexpr double kCopyBeside = 0.2; // copies beside real traffic, over the trial's part of it
+
+constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
 constexpr Ticks kWatch = 100000;     // a released build is held against the earlier one's latency
 constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
 
 // Routing, health, time-outs and pushback.
-constexpr double kHostRate = 0.1;     // weight of the newest outcome in a host's figures
-constexpr double kRestFails = 0.3;    // failure share that rests a host
-constexpr int kRestStreak = 4;        // after so many failures in a row
-constexpr Ticks kRest = 10000;        // first rest; doubles
-constexpr Ticks kRestMost = 80000;    // up to this
+constexpr double kHostRate = 0.1;  // weight of the newest outcome in a host's figures
+constexpr double kRestFails = 0.3; // failure share that rests a host
+constexpr int kRestStreak = 4;     // after so many failures in a row
+constexpr Ticks kRest = 10000;     // first rest; doubles up to eight times that
+
 constexpr double kRestShare = 0.4;    // at most this share of the hosts rests: the others must carry it
 constexpr double kForgive = 30000.0;  // a failure share halves in this time without picks
 constexpr double kSilence = 4.0;      // times the usual latency without any answer: silent
@@ -71,37 +70,28 @@
 constexpr double kLookLatency = 3.0;  // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3;    // of the soft deadline
 constexpr double kLookMost = 0.6;
-constexpr double kLateHigh = 0.65;    // mean latency over soft deadline: above, fewer open RPCs
-constexpr double kLateLow = 0.45;     // below, more
-constexpr double kCutLimit = 0.92;    // a step down of the limit
-constexpr double kRaiseLimit = 1.04;  // a step up
-constexpr double kLeastWorth = 0.8;   // share of the limit open to the least useful method
-constexpr double kOverShare = 0.5;    // share of the limit open to a tenant past its quota
-constexpr double kColdSafety = 0.5;   // of the push that a cold host stands
-constexpr double kPaceFade = 0.997;   // a beat: what warm hosts took is remembered while none are left
-constexpr int kColdFloor = 2;         // picks a window that are always allowed
-constexpr Ticks kBeat = 1000;         // how often standing matters are looked at
-constexpr Ticks kAskAgain = 8000;     // first wait after a failed call for the list; doubles
-constexpr Ticks kAskMost = 40000;     // up to this
-constexpr Ticks kPause = 3000;        // advice to a client that is pushed back
-constexpr double kLeastRating = 0.05; // a rating of nothing would divide by nothing
+constexpr double kLateHigh = 0.65;   // mean latency over soft deadline: above, fewer open RPCs
+constexpr double kLateLow = 0.45;    // below, more
+constexpr double kCutLimit = 0.92;   // a step down of the limit
+constexpr double kRaiseLimit = 1.04; // a step up
+constexpr double kLeastWorth = 0.8;  // share of the limit open to the least useful method
+constexpr double kOverShare = 0.5;   // share of the limit open to a tenant past its quota
+constexpr double kColdSafety = 0.8;  // of the push that a cold host stands
+constexpr double kPaceFade = 0.997;  // a beat: what warm hosts took is remembered while none are left
+constexpr int kColdFloor = 2;        // picks a window that are always allowed
+constexpr Ticks kBeat = 1000;        // how often standing matters are looked at
+constexpr Ticks kAskAgain =
+    8000; // first wait after a failed call for the list; doubles up to four times that
+
+constexpr Ticks kPause = 3000; // advice to a client that is pushed back
 
 class Decider final : public Router, Instance {
   public:
-    Decider(Terms given, std::uint64_t seed) {
-        terms = std::move(given);
-        budget = kBudgetMost / 2;
-
-        rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
-        usual.assign(terms.methods.size(), 0);
-        usual_count.assign(terms.methods.size(), 0);
-        taken.resize(terms.methods.size());
-        for (double quota : terms.tenant_quotas) tokens.push_back(quota / terms.instances);
-    }
+    Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
     // --- bookkeeping ---
-    double cap(int build) const { return build == known.build ? known.cap : terms.rollout.caps.front(); }
-    double rating(const Host &host) const { return std::max(kLeastRating, host.entry.rating); }
+
+    double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     double weight(const Host &host) const { return rating(host) * warmth(host); }
     double warmth(const Host &host) const {
         if (host.entry.started <= 0) return 1;
@@ -137,34 +127,33 @@
         if (armed <= now) armed = -1;
         if (now < beat_at) return;
         beat_at = now + kBeat;
-        const double span = (now - traffic_at) / 10000.0;
-        if (span >= 0.5) {
-            traffic += (arrivals / span - traffic) * (traffic > 0 ? 0.3 : 1.0);
-            arrivals = 0;
-            traffic_at = now;
-        }
-        while (!warm_picks.empty() && warm_picks.front() < now - 10000) warm_picks.pop_front();
+        const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
+        traffic += (arrivals / span - traffic) * 0.06;
+        arrivals = 0;
+        traffic_at = now;
+        forget(warm_picks, now - 10000);
         while (!earlier.empty() && earlier.front().at < now - kEvidenceAge) earlier.pop_front();
         while (!tallies.empty() && tallies.front().first < now - kEvidenceAge) tallies.pop_front();
         double warm = 0;
-        sound = 0;
+        lately.sound = 0;
+        lately.limited = limit > 0;
         std::vector<double> excess;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
-            if (usable(host) && well(host)) sound += weight(host);
+            if (usable(host) && well(host)) lately.sound += weight(host);
             if (usable_earlier(host) && now - host.entry.started > kColdSkip) excess.push_back(host.excess);
         }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
         if (!excess.empty()) {
-            fleet_excess = median(excess);
+            lately.fleet = median(excess);
             std::sort(excess.begin(), excess.end());
-            better_excess = excess[excess.size() / 4];
+            lately.better = excess[excess.size() / 4];
         }
         // The fleet's traffic by tallies where there are any: other routers' bursts are not in our arrivals.
         double offered = traffic, tallied_picks = 0;
         for (const auto &[at, row] : tallies) tallied_picks += at > now - kEvidenceAge / 2 ? row.picks : 0;
         if (!tallies.empty()) offered = tallied_picks;
-        peak_traffic = std::max(offered, peak_traffic * kPeakFade);
+        lately.traffic = std::max(offered, lately.traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
@@ -205,10 +194,6 @@
         enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
     }
 
-    double excess_of(const Pick &pick, int method, Ticks took) {
-        return std::log(std::max<Ticks>(1, took)) - usual[method] - kind_excess[hosts[pick.host].entry.kind];
-    }
-
     void learn(const Rpc &rpc, const Pick &pick, Ticks took) {
         Host &host = hosts[pick.host];
         const int method = rpc.from.method;
@@ -255,7 +240,7 @@
             resting += usable(other) && other.rest_until > now;
         }
         if (resting > std::max(1.0, all * kRestShare)) return;
-        host.rest = std::clamp(host.rest * 2, kRest, kRestMost);
+        host.rest = std::clamp(host.rest * 2, kRest, kRest * 8);
         host.rest_until = now + host.rest;
 
         log("host rests: streak %.0f fails %.2f resting %.0f", host.streak, host.fails, resting);
@@ -285,15 +270,10 @@
 
     void ended(const std::string &id, int number, Outcome outcome, Ticks took, bool complete,
                const std::vector<double> &report) override {
-        const auto found = rpcs.find(id);
-        if (found == rpcs.end() || number < 0) return;
-        Rpc &rpc = found->second;
-        if (number >= static_cast<int>(rpc.picks.size()) || !rpc.picks[number].open) return;
-        Pick &pick = rpc.picks[number];
-        pick.open = false;
-        pick.outcome = outcome;
-        --hosts[pick.host].open;
-        --open;
+        Rpc *found = close_pick(id, number, outcome);
+        if (!found) return;
+        Rpc &rpc = *found;
+        const Pick &pick = rpc.picks[number];
         note_report(hosts[pick.host], report);
         learn(rpc, pick, took);
         if (outcome == Outcome::ok && !rpc.done) {
@@ -309,12 +289,7 @@
     void flagged(const std::string &host, Ticks age) override { take_flag(host, age); }
     void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
 
-    void finished(const std::string &id) override {
-        const auto found = rpcs.find(id);
-        if (found == rpcs.end()) return;
-        found->second.done = true;
-        enqueue(found->second);
-    }
+    void finished(const std::string &id) override { mark_done(id); }
 
     void news(const News &told) override {
         if (told.answers_vote) vote_counts = told.valid;
@@ -323,18 +298,13 @@
         if (other || told.stage != known.stage || told.phase != known.phase) {
             if (trial_runs() && told.phase == Phase::released && !other) released_at = now;
             if (other || (told.phase != known.phase && told.phase != Phase::released)) {
-                calm_traffic = peak_traffic;
-                calm_excess = better_excess;
-                calm_fleet = fleet_excess;
+                calm = lately;
                 yielding = 0;
-                calm_sound = sound;
-                calm_limited = limit > 0;
                 suspect_since = -1;
             }
             stage_at = now - told.age;
             voted = Verdict::none;
-            log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage,
-                static_cast<int>(told.phase));
+            log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage, int(told.phase));
             if (told.phase != Phase::on_trial) of(told.build).range.clear();
         }
         known = told;
@@ -348,12 +318,9 @@
         return method.repeat == Repeat::idempotent ||
                std::all_of(rpc.picks.begin(), rpc.picks.end(), [&](const Pick &pick) {
                    if (!pick.open && proves_unrun(pick.outcome)) return true;
-                   if (method.repeat == Repeat::non_idempotent || now >= pick.sent + method.window)
-                       return false;
-                   const HostEntry &ran = hosts[pick.host].entry;
-                   return method.group == Group::all ||
-                          (method.group == Group::zone && ran.zone == target.entry.zone) ||
-                          (method.group == Group::cell && ran.cell == target.entry.cell);
+                   if (method.repeat == Repeat::non_idempotent) return false;
+                   return now < pick.sent + method.window &&
+                          same_group(method.group, hosts[pick.host].entry, target.entry);
                });
     }
 
@@ -373,8 +340,8 @@
         for (std::size_t i = 0; i < taken.size(); ++i) {
             if (terms.rollout.cap_by_method && static_cast<int>(i) != method) continue;
             std::deque<Ticks> &picks = of(number).picked[i];
-            while (!taken[i].empty() && taken[i].front() <= now - terms.rollout.window) taken[i].pop_front();
-            while (!picks.empty() && picks.front() < now - terms.rollout.window - 1) picks.pop_front();
+            forget(taken[i], now - terms.rollout.window + 1);
+            forget(picks, now - terms.rollout.window - 1);
             took += static_cast<double>(taken[i].size());
             sent += static_cast<double>(picks.size());
         }
@@ -385,8 +352,7 @@
     bool room_in_cold(Host &host) const {
         const double warm = warmth(host);
         if (warm >= 1) return true;
-        while (!host.pushed.empty() && host.pushed.front() <= now - terms.overload_for)
-            host.pushed.pop_front();
+        forget(host.pushed, now - terms.overload_for);
         const double part = pace * rating(host) * terms.overload_for / 10000.0;
         const double allowed = kColdSafety * terms.overload_multiple * warm * part;
         return host.pushed.size() + 1 <= std::max<double>(kColdFloor, allowed);
@@ -416,10 +382,10 @@
         if (host.held_at >= 0 && now - host.held_at < kReportAge)
             held += kReportTrust * (1 - 1.0 / terms.instances) * std::max(0.0, host.held - host.open);
         double cost = (held + 1) / weight(host);
-        cost *= std::exp(std::clamp(host.excess - fleet_excess, 0.0, 3.0));
+        cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
-        const bool effectful = method_of(rpc).repeat != Repeat::idempotent;
-        cost /= std::pow(sound, effectful ? 4 : 2);
+        cost /= std::pow(sound,
+                         method_of(rpc).repeat == Repeat::idempotent ? 2 : 4); // effects are dearer to lose
         if (silent(host, rpc.from.method)) cost *= 50;
         if (host.full_until > now) cost *= 4;
         if (watching() && host.entry.build < known.build) cost *= kOlderCost;
@@ -462,13 +428,6 @@
 
     bool fresh_release() const { return watching() && released_at >= 0 && now - released_at < kWatch; }
 
-    double trial_warmth() const {
-        double now_able = 0, in_full = 0;
-        for (const Host &host : hosts)
-            if (usable(host) && on_trial(host.entry.build)) now_able += weight(host), in_full += rating(host);
-        return in_full > 0 ? now_able / in_full : 0;
-    }
-
     // The trial's share of a method's real RPCs: in step with its places, a stage apart by repeat.
     double trial_share(int method) {
         Build &build = of(known.build);
@@ -478,23 +437,19 @@
         if (known.stage >= first) {
             const auto stage = std::min<std::size_t>(known.stage, terms.rollout.places.size() - 1);
             share = std::min(terms.rollout.places[stage], trial_part());
-            // A method with an effect starts with a trickle: a build that fails only that one shows in no
-            // pair.
+            // A method with an effect starts at a trickle: a build that fails it alone shows in no pair.
             if (first > 1) share *= std::min(1.0, (build.proven[method] + 3) / 15.0);
         }
         build.range[method] = std::max(build.range[method], share);
         return terms.rollout.keys_stay ? build.range[method] : share;
     }
 
-    // A copy is drawn in step with what the trial's hosts can bear beside their real traffic. Stops copies
-    // from swamping them, cold ones above all, which would read as divergence; fewer pairs are the price.
-    bool copy_drawn() { return rng.unit() < trial_part() * (known.stage > 0 ? kCopyBeside : 1); }
-
     Decision send(Rpc &rpc, int target, bool copy) {
         Host &host = hosts[target];
         const bool trial = on_trial(host.entry.build);
         const Method &method = method_of(rpc);
         const bool aged = host.entry.started <= 0 || now - host.entry.started > kColdSkip;
+        budget -= !rpc.picks.empty();
         rpc.picks.push_back({target, host.entry.build, now, trial, copy, aged});
         if (host.open++ == 0) host.quiet_since = now;
         ++open;
@@ -503,11 +458,8 @@
         rpc.look_at = now + look_wait(rpc.from.method);
         if (method.repeat != Repeat::non_idempotent) due.emplace(rpc.look_at, rpc.from.id);
         const Ticks left = rpc.from.deadline - now;
-        const Ticks patience = copy ? std::min(left, method.soft_deadline * 2) : left;
-        return {.act = Act::pick,
-                .rpc = rpc.from.id,
-                .host = host.entry.id,
-                .span = std::max<Ticks>(1, patience)};
+        const Ticks patience = std::max<Ticks>(1, copy ? std::min(left, method.soft_deadline * 2) : left);
+        return {.act = Act::pick, .rpc = rpc.from.id, .host = host.entry.id, .span = patience};
     }
 
     Ticks look_wait(int method) const {
@@ -545,46 +497,42 @@
         if (rpc.want_copy) {
             rpc.want_copy = false;
             const int target = spare && budget >= 1 ? choose(rpc, true) : -1;
-            if (target >= 0) return further(rpc, target, true);
+            if (target >= 0) return send(rpc, target, true);
         }
-        const auto count =
-            std::count_if(rpc.picks.begin(), rpc.picks.end(), [](const Pick &p) { return p.open; });
+        const auto count = open_picks(rpc);
         if (count == 1 && spare) return look_elsewhere(rpc);
         if (count > 0) return {};
         const bool paid = budget >= 1 || (unrun(rpc) && budget > -kBudgetMost);
         if (spare && paid && rpc.from.deadline - now > usual_latency(rpc.from.method) / 2) {
             int target = choose(rpc, false);
             if (target < 0) target = choose(rpc, true);
-            if (target >= 0) return further(rpc, target, false);
+            if (target >= 0) return send(rpc, target, false);
         }
         return finish(rpc, true);
     }
 
-    Decision further(Rpc &rpc, int target, bool copy) {
-        budget -= 1;
-        return send(rpc, target, copy);
-    }
-
     Decision first_pick(Rpc &rpc) {
         const Method &method = method_of(rpc);
-        const bool open_trial = trial_runs();
-        const bool drawn = open_trial && rpc.place < trial_share(rpc.from.method);
-        const bool copyable = open_trial && terms.second_copies && method.repeat == Repeat::idempotent &&
+        const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
+        const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && limit <= 0 && !method.stream;
         double price = 0, trial_price = 0;
         const int newer = drawn || copyable ? choose(rpc, true, &trial_price) : -1;
         int target = choose(rpc, false, &price);
         // The draw yields where the trial's hosts are clearly fuller. Stops the hand-over from jamming them
-        // while others have room: cold or lost hosts, popular keys, a slow build; the build is judged on
-        // fewer picks.
+        // while others have room: cold or lost hosts, popular keys, a slow build; it is judged on fewer
+        // picks.
         const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
         if (drawn && newer >= 0) yielding += (fuller - yielding) * kYieldRate;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
         if (target < 0) return finish(rpc, true);
-        rpc.want_copy =
-            copyable && newer >= 0 && !fuller && !on_trial(hosts[target].entry.build) && copy_drawn();
+        // A copy is drawn by what the trial's hosts can bear beside their real traffic. Stops copies, of
+        // retries too, from swamping them, cold ones above all: that reads as divergence. Fewer pairs are the
+        // price.
+        const double bearable = trial_part() * (known.stage > 0 ? kCopyBeside : 1);
+        rpc.want_copy = copyable && newer >= 0 && !fuller && target != newer && rng.unit() < bearable;
         return send(rpc, target, false);
     }
 
@@ -599,14 +547,14 @@
         const auto at =
             std::find_if(rpc.picks.begin(), rpc.picks.end(), [](const Pick &p) { return p.open; });
         const Host &host = hosts[at->host];
-        const bool unwell = silent(host, rpc.from.method) || host.excess - fleet_excess > std::log(kUnwell);
+        const bool unwell = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kUnwell);
         const int target = unwell && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
         if (target < 0 || used(rpc, target) || (!beside && !terms.may_cut)) {
             rpc.look_at = now + look_wait(rpc.from.method) / 2;
             due.emplace(rpc.look_at, rpc.from.id);
             return {};
         }
-        if (beside) return further(rpc, target, false);
+        if (beside) return send(rpc, target, false);
         at->cut = true;
         return {.act = Act::cut, .rpc = rpc.from.id, .pick = static_cast<int>(at - rpc.picks.begin())};
     }
@@ -645,17 +593,16 @@
         // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
         std::sort(medians.begin(), medians.end());
-        // Beside a trial that took traffic off them the earlier hosts run lighter than before: the higher
+        // Beside a trial that took their traffic the earlier hosts run lighter than before: the higher
         // counts.
-        seen.slow = medians[(medians.size() - 1) / 2] - std::max(median(beside), calm_fleet);
+        seen.slow = medians[(medians.size() - 1) / 2] - std::max(median(beside), calm.fleet);
         const double ratio = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
         seen.slow_bar = std::log(ratio * (1 + kFewHosts / static_cast<double>(medians.size())));
         return seen;
     }
 
     // Are the failures those of a host, not of the build? Stops votes back for a neighbour, a fast-failing or
-    // silent host that happens to run the trial; may wait too long when host trouble and a bad build
-    // coincide.
+    // silent host that happens to run the trial; may wait too long when both troubles coincide.
     bool host_explains(const Evidence &seen) const {
         if (seen.by_host.size() >= 3) {
             std::size_t sick = 0;
@@ -676,8 +623,8 @@
             flags += other->second.flags, answers += other->second.answers;
         const double usual_rate = flags / answers;
         const double bad_rate = usual_rate + terms.rollout.flag_share * kWrongShare;
-        return at->second.flags * std::log(bad_rate / usual_rate) -
-               at->second.answers * (bad_rate - usual_rate);
+        const double gain = std::log(bad_rate / usual_rate);
+        return at->second.flags * gain - at->second.answers * (bad_rate - usual_rate);
     }
 
     // The share that speaks against a build falls as the sample grows, since chance has less room. Stops a
@@ -689,16 +636,16 @@
     }
 
     // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
-    // sound hosts: the build on trial slows them all, or jams them. Stops a build whose harm shows at no host
-    // of its own; covers builds whose retries swamp the rest. May blame the build for a trouble that strikes
-    // every host at once during a trial.
+    // sound hosts: the build on trial slows or jams them all. Stops a build whose harm shows at no host of
+    // its own; covers builds whose retries swamp the rest. May blame it for a trouble that strikes every host
+    // at once.
     bool slows_all() {
         const bool in_trial = trial_runs() && known.stage > 0 && trial_part() < kMinority;
-        const bool witnessed = (in_trial || fresh_release()) && !calm_limited;
-        const bool risen = witnessed && better_excess - calm_excess > std::log(kSharedRise);
-        const bool unexplained =
-            peak_traffic < calm_traffic * kSharedLoad && sound > calm_sound * kSharedSound;
-        return lasts(risen && unexplained, suspect_since, kSharedFor * (tallies.empty() ? 1 : kTallyLag));
+        const bool witnessed = (in_trial || fresh_release()) && !calm.limited;
+        const bool risen = witnessed && lately.better - calm.better > std::log(kSharedRise);
+        const bool alike =
+            lately.traffic < calm.traffic * kSharedLoad && lately.sound > calm.sound * kSharedSound;
+        return lasts(risen && alike, suspect_since, kSharedFor);
     }
 
     Verdict judgement() {
@@ -712,19 +659,22 @@
             failing = failing || fails_much(tallied(known.build, i), kBackPairs, kMethodShare, before);
         }
         if (failing && !host_explains(seen)) return back("failures", seen, usual_share);
-        if (slows_all()) return back("slowing all", seen, std::exp(better_excess - calm_excess));
+        if (slows_all()) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
         if (lasts(slow, slow_since, kSlowFor)) return back("latency", seen, std::exp(seen.slow));
         if (terms.rollout.advance == Advance::timer) {
-            const bool doubtful = fails_much(seen.all, kHoldPairs, kHoldShare, usual_share);
+            const bool doubtful = seen.all.picks >= kHoldPairs && seen.all.share() > kHoldShare + usual_share;
             return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
         }
         // A trial that others must spare load is not proven for more: slow builds, and those bad when busy.
         if (failing || slow || suspect_since >= 0 || yielding > kYieldMost) return Verdict::none;
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
-        if (last && trial_warmth() < kWarmEnough) return Verdict::none;
+        const auto cold = [&](const Host &h) {
+            return usable(h) && on_trial(h.entry.build) && warmth(h) < kWarmEnough;
+        };
+        if (last && std::any_of(hosts.begin(), hosts.end(), cold)) return Verdict::none;
         const double borne = kOnDivergences + (usual_share + kOnShare) * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
@@ -752,7 +702,7 @@
     }
 
     void list_failed() override {
-        ask_wait = std::clamp(ask_wait * 2, kAskAgain, kAskMost);
+        ask_wait = std::clamp(ask_wait * 2, kAskAgain, kAskAgain * 4);
         ask_at = now + ask_wait + static_cast<Ticks>(ask_wait * 0.25 * rng.unit());
     }
 
@@ -763,9 +713,7 @@
             Rpc &rpc = found->second;
             if (Decision made = advance(rpc); made.act != Act::none) return made;
             rpc.queued = false;
-            if (rpc.done &&
-                std::none_of(rpc.picks.begin(), rpc.picks.end(), [](const Pick &p) { return p.open; }))
-                rpcs.erase(found);
+            if (rpc.done && open_picks(rpc) == 0) rpcs.erase(found);
         }
         if (Decision made = vote(); made.act != Act::none) return made;
         if (terms.list_by_asking && ask_at >= 0 && ask_at <= now) {
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -2,12 +2,8 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace pineridge {
@@ -40,7 +36,6 @@
     double free_picks;
     double flag_share;
     Ticks window;
-    Ticks answer_wait;
     Ticks vote_life;
     std::vector<double> places;
     std::vector<double> caps;
@@ -49,19 +44,15 @@
 // What the deployment tells an instance when it starts.
 struct Terms {
     int instances;
-    int ordinal;
     bool list_by_asking;
-    bool may_probe;
     bool may_cut;
     bool second_copies;
-    bool may_tell;
     bool advise_pause;
     bool utility_by_work;
     int max_picks;
     Ticks max_pause;
     Ticks cold_for;
     Ticks overload_for;
-    Ticks ask_every;
     double cold_share;
     double overload_multiple;
     std::vector<Method> methods;
@@ -87,7 +78,6 @@
     int tenant;
     std::string key;
     Ticks deadline;
-    double work; // seconds on a standard core; 0: not told
     bool retry;
 };
 
@@ -110,7 +100,7 @@
     double latency; // seconds
 };
 
-enum class Act { none, pick, cut, push_back, abort, vote, probe, watch_list, fetch_list, wake, tell, log };
+enum class Act { none, pick, cut, push_back, abort, vote, watch_list, wake, log };
 enum class Verdict { none, on, hold, back };
 
 // One decision; `act` tells which fields hold.
@@ -123,8 +113,7 @@
     int build = 0;
     int stage = 0;
     Verdict verdict = Verdict::none;
-    int peer = -1;
-    std::string text{}; // log line, or the bytes of a message to peers
+    std::string text{}; // log line
 };
 
 class Router {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -7,6 +7,7 @@
 #include "logic.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <deque>
 #include <map>
@@ -24,6 +25,10 @@
     return end == Outcome::fault || end == Outcome::too_slow || end == Outcome::cut;
 }
 
+inline bool same_group(Group group, const HostEntry &a, const HostEntry &b) {
+    return group == Group::all || (group == Group::zone ? a.zone == b.zone : a.cell == b.cell);
+}
+
 struct Pick {
     int host;
     int build;
@@ -98,7 +103,24 @@
     double slow = 0; // log of the better hosts' median latency over the earlier hosts'
     double slow_bar = 0;
 };
+// What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
+struct Figures {
+    double traffic = 0;
+    double fleet = 0;  // middle host
+    double better = 0; // best quarter
+    double sound = 0;
+    bool limited = false;
+};
+
 struct Instance {
+    Instance(Terms given, std::uint64_t seed) : terms(std::move(given)) {
+        rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
+        usual.assign(terms.methods.size(), 0);
+        usual_count.assign(terms.methods.size(), 0);
+        taken.resize(terms.methods.size());
+        for (double quota : terms.tenant_quotas) tokens.push_back(quota / terms.instances);
+    }
+
     Terms terms;
     Pcg rng;
     Ticks now = 0, armed = -1, beat_at = 0;
@@ -126,12 +148,8 @@
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
-    double fleet_excess = 0, better_excess = 0, calm_excess = 0,
-           calm_fleet = 0;                     // of the earlier hosts: median, best quarter
-    double peak_traffic = 0, calm_traffic = 0; // of late, and when the trial began
-    double sound = 0, calm_sound = 0;
-    bool calm_limited = false;
-    double yielding = 0; // share of the draws for the trial that went elsewhere
+    Figures lately, calm; // calm: when the trial began
+    double yielding = 0;  // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
@@ -219,6 +237,39 @@
             if (row.build == build && row.method == method) count.add(row.picks, row.failed);
         return count;
     }
+
+    double excess_of(const Pick &pick, int method, Ticks took) {
+        return std::log(std::max<Ticks>(1, took)) - usual[method] - kind_excess[hosts[pick.host].entry.kind];
+    }
+
+    double cap(int build) const { return build == known.build ? known.cap : terms.rollout.caps.front(); }
+
+    static void forget(std::deque<Ticks> &times, Ticks before) {
+        while (!times.empty() && times.front() < before) times.pop_front();
+    }
+
+    static auto open_picks(const Rpc &rpc) {
+        return std::count_if(rpc.picks.begin(), rpc.picks.end(), [](const Pick &pick) { return pick.open; });
+    }
+
+    Rpc *close_pick(const std::string &id, int number, Outcome outcome) {
+        const auto found = rpcs.find(id);
+        if (found == rpcs.end() || number < 0) return nullptr;
+        std::vector<Pick> &picks = found->second.picks;
+        if (number >= static_cast<int>(picks.size()) || !picks[number].open) return nullptr;
+        picks[number].open = false;
+        picks[number].outcome = outcome;
+        --hosts[picks[number].host].open;
+        --open;
+        return &found->second;
+    }
+
+    void mark_done(const std::string &id) {
+        const auto found = rpcs.find(id);
+        if (found == rpcs.end()) return;
+        found->second.done = true;
+        enqueue(found->second);
+    }
 };
 
 } // namespace pineridge
