--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,11 +10,13 @@
 namespace pineridge {
 namespace {
 // The divergence gate, in the design page's numbers where it gives them.
-constexpr int kBackDivergences = 5;     // fewer are chance
-constexpr int kBackPairs = 20;          // least sample for a vote back over all methods
-constexpr double kBackShare = 0.20;     // divergence share above the earlier build's own
-constexpr int kMethodPairs = 6;         // least sample for one method: effectful picks are dear to spend
-constexpr double kMethodShare = 0.35;   // and the share it needs, as the sample is small
+constexpr int kBackDivergences = 5;   // fewer are chance
+constexpr int kBackPairs = 20;        // least sample for a vote back over all methods
+constexpr double kBackShare = 0.20;   // divergence share above the earlier build's own
+constexpr int kMethodPairs = 6;       // least sample for one method: effectful picks are dear to spend
+constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
+constexpr Ticks kLoneFor = 200000;    // failures of one host must last so long to be the build's
+constexpr double kTroubled = 2; // the earlier build's own share counts so often: trouble strikes unevenly
 constexpr double kLeastShare = 0.02;    // that share falls with the sample, to this
 constexpr double kHoldShare = 0.10;     // timer: hold above this share
 constexpr int kHoldPairs = 10;          // over so many pairs
@@ -39,14 +41,15 @@
 constexpr double kSharedLoad = 1.15;  // that more traffic does not explain
 constexpr double kSharedSound = 0.85; // nor fewer sound hosts
 
-constexpr Ticks kSharedFor = 25000; // and that lasts, longer than tallies are late
+constexpr Ticks kSharedFor = 20000; // and that lasts
+constexpr int kFewRouters = 3;      // with more, traffic is not spread evenly enough to be known
 constexpr double kFuller = 1.5;     // cost of the trial's best host over the earlier one's: clearly fuller
 constexpr double kYieldRate = 0.03; // weight of the newest draw in the share that yields
 constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
 constexpr double kCopyBeside = 0.2; // copies beside real traffic, over the trial's part of it
 
 constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
-constexpr Ticks kWatch = 100000;     // a released build is held against the earlier one's latency
+
 constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
@@ -136,7 +139,7 @@
         while (!tallies.empty() && tallies.front().first < now - kEvidenceAge) tallies.pop_front();
         double warm = 0;
         lately.sound = 0;
-        lately.limited = limit > 0;
+
         std::vector<double> excess;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
@@ -149,11 +152,7 @@
             std::sort(excess.begin(), excess.end());
             lately.better = excess[excess.size() / 4];
         }
-        // The fleet's traffic by tallies where there are any: other routers' bursts are not in our arrivals.
-        double offered = traffic, tallied_picks = 0;
-        for (const auto &[at, row] : tallies) tallied_picks += at > now - kEvidenceAge / 2 ? row.picks : 0;
-        if (!tallies.empty()) offered = tallied_picks;
-        lately.traffic = std::max(offered, lately.traffic * kPeakFade);
+        lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
@@ -220,7 +219,7 @@
             if (!pick.copy && (served || diverged)) judge(rpc, pick, diverged, excess);
             return;
         }
-        if (served && !trial_runs() && !fresh_release()) {
+        if (served && !trial_runs()) {
             usual[method] += excess * std::max(1.0 / ++usual_count[method], 0.004);
             if (usual_count[method] > 20) kind_excess[host.entry.kind] += excess * 0.01;
         }
@@ -242,8 +241,6 @@
         if (resting > std::max(1.0, all * kRestShare)) return;
         host.rest = std::clamp(host.rest * 2, kRest, kRest * 8);
         host.rest_until = now + host.rest;
-
-        log("host rests: streak %.0f fails %.2f resting %.0f", host.streak, host.fails, resting);
     }
 
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
@@ -300,7 +297,7 @@
             if (other || (told.phase != known.phase && told.phase != Phase::released)) {
                 calm = lately;
                 yielding = 0;
-                suspect_since = -1;
+                suspect_since = slow_since = lone_since = -1;
             }
             stage_at = now - told.age;
             voted = Verdict::none;
@@ -426,8 +423,6 @@
         return places > 0 ? std::min(1.0, there / places) : 1;
     }
 
-    bool fresh_release() const { return watching() && released_at >= 0 && now - released_at < kWatch; }
-
     // The trial's share of a method's real RPCs: in step with its places, a stage apart by repeat.
     double trial_share(int method) {
         Build &build = of(known.build);
@@ -632,20 +627,20 @@
     bool fails_much(const Count &count, int least, double share, double usual_share) const {
         const double bar = std::max(kLeastShare, share * least / std::max<double>(least, count.picks));
         return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
-               count.failed > (bar + usual_share) * count.picks;
+               count.failed > (bar + kTroubled * usual_share) * count.picks;
     }
 
     // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
-    // sound hosts: the build on trial slows or jams them all. Stops a build whose harm shows at no host of
-    // its own; covers builds whose retries swamp the rest. May blame it for a trouble that strikes every host
-    // at once.
+    // sound hosts: the build slows or jams them all. Stops a build whose harm shows at no host of its own.
+    // Only where own arrivals tell the fleet's traffic; may blame the build for a trouble that strikes every
+    // host at once.
     bool slows_all() {
-        const bool in_trial = trial_runs() && known.stage > 0 && trial_part() < kMinority;
-        const bool witnessed = (in_trial || fresh_release()) && !calm.limited;
-        const bool risen = witnessed && lately.better - calm.better > std::log(kSharedRise);
+        const bool telling = terms.instances <= kFewRouters && tallies.empty() && limit <= 0;
+        const bool witnessed = trial_runs() && known.stage > 0 && trial_part() < kMinority;
         const bool alike =
             lately.traffic < calm.traffic * kSharedLoad && lately.sound > calm.sound * kSharedSound;
-        return lasts(risen && alike, suspect_since, kSharedFor);
+        const bool risen = lately.better - calm.better > std::log(kSharedRise);
+        return lasts(telling && witnessed && alike && risen, suspect_since, kSharedFor);
     }
 
     Verdict judgement() {
@@ -658,7 +653,9 @@
             const double before = tallied(known.build - 1, i).share();
             failing = failing || fails_much(tallied(known.build, i), kBackPairs, kMethodShare, before);
         }
-        if (failing && !host_explains(seen)) return back("failures", seen, usual_share);
+        // A lone host's failures may be its own: the trial waits there, where it can do little harm.
+        const bool known_long = lasts(failing, lone_since, kLoneFor) || seen.by_host.size() > 1;
+        if (failing && known_long && !host_explains(seen)) return back("failures", seen, usual_share);
         if (slows_all()) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -28,7 +28,7 @@
     return given;
 }
 
-// Only the trial's host stands, so that every RPC goes there.
+// Only the trial's hosts stand, so that every RPC goes there.
 inline Terms trial_terms() { return terms(Repeat::idempotent); }
 
 inline long count(const std::vector<Decision> &made, Act act) {
@@ -70,9 +70,10 @@
             pull(Act::pick);
         }
     }
-    // Real picks at the trial's only host, so many of them failing, then the time of the next judgement.
+    // Real picks at the trial's two hosts, so many of them failing, then the time of the next judgement.
     void trial_with(int picks, int failing) {
         host("new", 2);
+        host("newer", 2);
         news(2, 0, Phase::on_trial, 1);
         Ticks step = 0;
         for (int i = 0; i < picks; ++i) {
