Concentration tells a host's failures from a build's; tallies only beside the earlier build's

Cause: a build failing one method evenly was taken for host trouble; tallies alone sent good builds back.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,6 +6,7 @@
 #include "state.hpp"
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace pineridge {
 namespace {
@@ -15,7 +16,8 @@
 constexpr double kBackShare = 0.20;   // divergence share above the earlier build's own
 constexpr int kMethodPairs = 6;       // least sample for one method: effectful picks are dear to spend
 constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
-constexpr Ticks kLoneFor = 200000;    // failures of one host must last so long to be the build's
+constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
+constexpr Ticks kLoneFor = 100000;    // in stage one on one host, whose failures may be its own
 constexpr double kTroubled = 2; // the earlier build's own share counts so often: trouble strikes unevenly
 constexpr double kLeastShare = 0.02;    // that share falls with the sample, to this
 constexpr double kHoldShare = 0.10;     // timer: hold above this share
@@ -297,7 +299,7 @@
             if (other || (told.phase != known.phase && told.phase != Phase::released)) {
                 calm = lately;
                 yielding = 0;
-                suspect_since = slow_since = lone_since = -1;
+                suspect_since = slow_since = -1;
             }
             stage_at = now - told.age;
             voted = Verdict::none;
@@ -599,14 +601,13 @@
     // Are the failures those of a host, not of the build? Stops votes back for a neighbour, a fast-failing or
     // silent host that happens to run the trial; may wait too long when both troubles coincide.
     bool host_explains(const Evidence &seen) const {
-        if (seen.by_host.size() >= 3) {
-            std::size_t sick = 0;
-            for (const auto &[host, count] : seen.by_host) sick += count.failed > kBackShare * count.picks;
-            return sick * 3 <= seen.by_host.size();
-        }
-        return std::any_of(hosts.begin(), hosts.end(), [&](const Host &host) {
-            return usable_earlier(host) && fails(host) > kBackShare;
-        });
+        std::vector<double> failed;
+        for (const auto &[host, count] : seen.by_host) failed.push_back(count.failed);
+        std::sort(failed.rbegin(), failed.rend());
+        const std::size_t few = std::max<std::size_t>(1, failed.size() / 3);
+        const double theirs =
+            std::accumulate(failed.begin(), failed.begin() + std::min(few, failed.size()), 0.0);
+        return failed.size() > 1 && theirs > kConcentrated * seen.all.failed;
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
@@ -650,12 +651,16 @@
         bool failing = fails_much(seen.all, kBackPairs, kBackShare, usual_share);
         for (int i = 0; i < static_cast<int>(terms.methods.size()); ++i) {
             failing = failing || fails_much(seen.by_method[i], kMethodPairs, kMethodShare, usual_share);
-            const double before = tallied(known.build - 1, i).share();
-            failing = failing || fails_much(tallied(known.build, i), kBackPairs, kMethodShare, before);
+            const Count told = tallied(known.build, i), before = tallied(known.build - 1, i);
+            const bool enough = std::min(told.picks, before.picks) >= kBackPairs && trial_runs();
+            failing = failing || (enough && told.share() > kMethodShare + kTroubled * before.share());
         }
-        // A lone host's failures may be its own: the trial waits there, where it can do little harm.
-        const bool known_long = lasts(failing, lone_since, kLoneFor) || seen.by_host.size() > 1;
-        if (failing && known_long && !host_explains(seen)) return back("failures", seen, usual_share);
+        // A lone host's failures may be its own. The trial waits there, where it can do little harm, then
+        // goes on to the second stage: more hosts tell the two apart.
+        const bool lone = trial_runs() && seen.by_host.size() == 1;
+        if (lone && known.stage == 0 && now - stage_at > kLoneFor && terms.rollout.advance != Advance::timer)
+            return Verdict::on;
+        if (failing && !lone && !host_explains(seen)) return back("failures", seen, usual_share);
         if (slows_all()) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -149,7 +149,7 @@
     int arrivals = 0;
     Figures lately, calm; // calm: when the trial began
     double yielding = 0;  // share of the draws for the trial that went elsewhere
-    Ticks slow_since = -1, suspect_since = -1, lone_since = -1, released_at = -1;
+    Ticks slow_since = -1, suspect_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -207,6 +207,15 @@
     for (const Decision &vote : bench.pull(Act::vote)) assert(vote.verdict != Verdict::back);
 }
 
+// A build that fails one method evenly on its hosts is not taken for host trouble.
+void even_failures_are_the_build() {
+    Bench bench(trial_terms());
+    for (const char *id : {"n1", "n2", "n3", "n4"}) bench.host(id, 2);
+    bench.trial_with(60, 12);
+    const auto votes = bench.pull(Act::vote);
+    assert(!votes.empty() && votes[0].verdict == Verdict::back);
+}
+
 // One complaint, which may be false, sends nothing back; a run of them does.
 void complaints_need_proof() {
     for (const int flags : {1, 12}) {
@@ -257,6 +266,7 @@
     timer_gate_holds();
     vote_back_stands();
     one_sick_host_is_not_the_build();
+    even_failures_are_the_build();
     complaints_need_proof();
     fast_failing_host_rests();
     same_events_give_same_picks();
