--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -40,13 +40,14 @@
 constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
 constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
 constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
-constexpr double kSharedLoad = 1.15;  // that more traffic does not explain
+constexpr double kLoadRise = 1.5;     // powers of the traffic's growth that explain a rise
+constexpr Ticks kWatch = 100000;      // after a release too
 constexpr double kSharedSound = 0.85; // nor fewer sound hosts
 
-constexpr Ticks kSharedFor = 20000; // and that lasts
+constexpr Ticks kSharedFor = 12000; // and that lasts
 constexpr int kFewRouters = 3;      // with more, traffic is not spread evenly enough to be known
 constexpr double kFuller = 1.5;     // cost of the trial's best host over the earlier one's: clearly fuller
-constexpr double kYieldRate = 0.03; // weight of the newest draw in the share that yields
+
 constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
 constexpr double kCopyBeside = 0.2; // copies beside real traffic, over the trial's part of it
 
@@ -57,10 +58,10 @@
 constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
 
 // Routing, health, time-outs and pushback.
-constexpr double kHostRate = 0.1;  // weight of the newest outcome in a host's figures
-constexpr double kRestFails = 0.3; // failure share that rests a host
-constexpr int kRestStreak = 4;     // after so many failures in a row
-constexpr Ticks kRest = 10000;     // first rest; doubles up to eight times that
+constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
+
+constexpr int kRestStreak = 4; // failures in a row that rest a host
+constexpr Ticks kRest = 10000; // first rest; doubles up to eight times that
 
 constexpr double kRestShare = 0.4;    // at most this share of the hosts rests: the others must carry it
 constexpr double kForgive = 30000.0;  // a failure share halves in this time without picks
@@ -100,8 +101,7 @@
     double weight(const Host &host) const { return rating(host) * warmth(host); }
     double warmth(const Host &host) const {
         if (host.entry.started <= 0) return 1;
-        const double grown =
-            static_cast<double>(now - host.entry.started) / std::max<Ticks>(1, terms.cold_for);
+        const double grown = double(now - host.entry.started) / std::max<Ticks>(1, terms.cold_for);
         return std::clamp(terms.cold_share + (1 - terms.cold_share) * grown, terms.cold_share, 1.0);
     }
 
@@ -113,16 +113,13 @@
 
     // Has this held for so long? A figure that tops its bar for a moment, as queues jump, is no verdict.
     bool lasts(bool held, Ticks &since, Ticks span) const {
-        if (!held)
-            since = -1;
-        else if (since < 0)
-            since = now;
+        since = !held ? -1 : since < 0 ? now : since;
         return held && now - since > span;
     }
 
     double usual_latency(int method) const {
         return usual_count[method] ? std::exp(usual[method])
-                                   : terms.methods[method].soft_deadline * kLookLeast;
+                                   : kLookLeast * terms.methods[method].soft_deadline;
     }
 
     void clock(Ticks at) override {
@@ -142,18 +139,19 @@
         double warm = 0;
         lately.sound = 0;
 
-        std::vector<double> excess;
+        std::vector<double> excess, all;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
             if (usable(host) && well(host)) lately.sound += weight(host);
-            if (usable_earlier(host) && now - host.entry.started > kColdSkip) excess.push_back(host.excess);
+            if (!usable(host) || now - host.entry.started < kColdSkip) continue;
+            all.push_back(host.excess);
+            if (!on_trial(host.entry.build)) excess.push_back(host.excess);
         }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
-        if (!excess.empty()) {
-            lately.fleet = median(excess);
-            std::sort(excess.begin(), excess.end());
-            lately.better = excess[excess.size() / 4];
-        }
+        lately.limited = limit > 0;
+        if (!excess.empty()) lately.fleet = median(excess);
+        std::sort(all.begin(), all.end());
+        if (!all.empty()) lately.better = all[all.size() / 4];
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         Count served;
         for (const Sample &sample : earlier) served.add(1, sample.failed);
@@ -234,7 +232,7 @@
     // A host that fails in a row is rested. Stops fast failures from drawing picks, and covers dead and
     // refusing hosts; never so many at once that the rest would be swamped.
     void rest_if_failing(Host &host) {
-        if (host.streak < kRestStreak || host.fails < kRestFails || host.rest_until > now) return;
+        if (host.streak < kRestStreak || host.rest_until > now) return;
         double resting = 1, all = 0;
         for (const Host &other : hosts) {
             all += usable(other);
@@ -383,8 +381,7 @@
         double cost = (held + 1) / weight(host);
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
-        cost /= std::pow(sound,
-                         method_of(rpc).repeat == Repeat::idempotent ? 2 : 4); // effects are dearer to lose
+        cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
         if (host.full_until > now) cost *= 4;
         if (watching() && host.entry.build < known.build) cost *= kOlderCost;
@@ -520,7 +517,7 @@
         // while others have room: cold or lost hosts, popular keys, a slow build; it is judged on fewer
         // picks.
         const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
-        if (drawn && newer >= 0) yielding += (fuller - yielding) * kYieldRate;
+        if (drawn && newer >= 0) yielding += (fuller - yielding) * 0.03;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
@@ -542,7 +539,7 @@
         const bool beside = terms.second_copies && method.repeat == Repeat::idempotent;
         if (method.repeat == Repeat::non_idempotent || method.stream || now < rpc.look_at) return {};
         const auto at =
-            std::find_if(rpc.picks.begin(), rpc.picks.end(), [](const Pick &p) { return p.open; });
+            std::find_if(rpc.picks.begin(), rpc.picks.end(), [](auto &pick) { return pick.open; });
         const Host &host = hosts[at->host];
         const bool unwell = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kUnwell);
         const int target = unwell && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
@@ -572,6 +569,7 @@
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
         std::map<int, std::vector<double>> excess;
+        const Ticks of_late = now - kEvidenceAge / 2;
         std::vector<double> beside, medians;
         for (const Sample &sample : build.samples) {
             if (sample.at < now - kEvidenceAge) continue;
@@ -579,11 +577,10 @@
             seen.by_method[sample.method].add(1, sample.failed);
             seen.by_host[sample.host].add(1, sample.failed);
             if (sample.at >= stage_at) seen.stage.add(1, sample.failed);
-            if (sample.timed && sample.at > now - kEvidenceAge / 2)
-                excess[sample.host].push_back(sample.excess);
+            if (sample.timed && sample.at > of_late) excess[sample.host].push_back(sample.excess);
         }
         for (const Sample &sample : earlier)
-            if (sample.timed && sample.at > now - kEvidenceAge / 2) beside.push_back(sample.excess);
+            if (sample.timed && sample.at > of_late) beside.push_back(sample.excess);
         for (auto &[host, values] : excess)
             if (values.size() >= kSlowSample && beside.size() >= kBesides) medians.push_back(median(values));
         if (medians.empty() || trial_part() > kMinority) return seen;
@@ -605,9 +602,9 @@
         for (const auto &[host, count] : seen.by_host) failed.push_back(count.failed);
         std::sort(failed.rbegin(), failed.rend());
         const std::size_t few = std::max<std::size_t>(1, failed.size() / 3);
-        const double theirs =
-            std::accumulate(failed.begin(), failed.begin() + std::min(few, failed.size()), 0.0);
-        return failed.size() > 1 && theirs > kConcentrated * seen.all.failed;
+        if (failed.size() < 2) return false;
+        const double theirs = std::accumulate(failed.begin(), failed.begin() + few, 0.0);
+        return theirs > kConcentrated * seen.all.failed;
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
@@ -632,16 +629,17 @@
     }
 
     // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
-    // sound hosts: the build slows or jams them all. Stops a build whose harm shows at no host of its own.
-    // Only where own arrivals tell the fleet's traffic; may blame the build for a trouble that strikes every
-    // host at once.
+    // sound hosts: the build slows or jams them all. Stops a build whose harm shows at no host of its own,
+    // also once released. Only where own arrivals tell the fleet's traffic; may blame it for a trouble of
+    // every host.
     bool slows_all() {
-        const bool telling = terms.instances <= kFewRouters && tallies.empty() && limit <= 0;
-        const bool witnessed = trial_runs() && known.stage > 0 && trial_part() < kMinority;
-        const bool alike =
-            lately.traffic < calm.traffic * kSharedLoad && lately.sound > calm.sound * kSharedSound;
-        const bool risen = lately.better - calm.better > std::log(kSharedRise);
-        return lasts(telling && witnessed && alike && risen, suspect_since, kSharedFor);
+        const bool telling = terms.instances <= kFewRouters && tallies.empty() && !calm.limited;
+        const bool fresh = watching() && released_at >= 0 && now - released_at < kWatch;
+        const bool alike = lately.sound > calm.sound * kSharedSound;
+        const double more = std::max(0.0, std::log(lately.traffic / std::max(1e-9, calm.traffic)));
+        const bool risen = lately.better - calm.better > std::log(kSharedRise) + kLoadRise * more;
+        const bool at_issue = fresh || (trial_runs() && known.stage > 0);
+        return lasts(at_issue && telling && alike && risen, suspect_since, kSharedFor);
     }
 
     Verdict judgement() {
@@ -652,7 +650,7 @@
         for (int i = 0; i < static_cast<int>(terms.methods.size()); ++i) {
             failing = failing || fails_much(seen.by_method[i], kMethodPairs, kMethodShare, usual_share);
             const Count told = tallied(known.build, i), before = tallied(known.build - 1, i);
-            const bool enough = std::min(told.picks, before.picks) >= kBackPairs && trial_runs();
+            const bool enough = trial_runs() && std::min(told.picks, before.picks) >= kBackPairs;
             failing = failing || (enough && told.share() > kMethodShare + kTroubled * before.share());
         }
         // A lone host's failures may be its own. The trial waits there, where it can do little harm, then
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -109,6 +109,7 @@
     double fleet = 0;  // middle host
     double better = 0; // best quarter
     double sound = 0;
+    bool limited = false;
 };
 
 struct Instance {
