Eldest trial hosts failing together are the build's fault

Cause: a build that turns bad with its hosts' age fails first on the eldest few, which read as host trouble.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -514,8 +514,7 @@
         const int newer = drawn || copyable ? choose(rpc, true, &trial_price) : -1;
         int target = choose(rpc, false, &price);
         // The draw yields where the trial's hosts are clearly fuller. Stops the hand-over from jamming them
-        // while others have room: cold or lost hosts, popular keys, a slow build; it is judged on fewer
-        // picks.
+        // while others have room: cold or lost hosts, popular keys, a slow build. Fewer picks judge it.
         const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
         if (drawn && newer >= 0) yielding += (fuller - yielding) * 0.03;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
@@ -523,17 +522,15 @@
         if (target < 0) target = choose(rpc, true);
         if (target < 0) return finish(rpc, true);
         // A copy is drawn by what the trial's hosts can bear beside their real traffic. Stops copies, of
-        // retries too, from swamping them, cold ones above all: that reads as divergence. Fewer pairs are the
-        // price.
+        // retries too, from swamping them, cold ones above all, which would read as divergence.
         const double bearable = trial_part() * (known.stage > 0 ? kCopyBeside : 1);
         rpc.want_copy = copyable && newer >= 0 && !fuller && target != newer && rng.unit() < bearable;
         return send(rpc, target, false);
     }
 
-    // An RPC held by a host that is silent or far slower than the rest looks elsewhere: beside it where
-    // second copies are allowed, else in its place. Work is the RPC's own, so a merely long one is left
-    // alone. Stops silent, stalled and slow hosts from holding RPCs past their soft deadline; adds load when
-    // many hosts stall at once, which the budget bounds.
+    // An RPC at a host that is silent or far slower than the rest looks elsewhere: beside it where second
+    // copies are allowed, else in its place. Stops silent, stalled and slow hosts from holding RPCs past
+    // their soft deadline; adds load when many hosts stall at once, which the budget bounds.
     Decision look_elsewhere(Rpc &rpc) {
         const Method &method = method_of(rpc);
         const bool beside = terms.second_copies && method.repeat == Repeat::idempotent;
@@ -595,16 +592,21 @@
         return seen;
     }
 
-    // Are the failures those of a host, not of the build? Stops votes back for a neighbour, a fast-failing or
-    // silent host that happens to run the trial; may wait too long when both troubles coincide.
+    // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
+    // silent host under the trial. Not so where the eldest fail together: that build turns bad with age.
     bool host_explains(const Evidence &seen) const {
-        std::vector<double> failed;
-        for (const auto &[host, count] : seen.by_host) failed.push_back(count.failed);
-        std::sort(failed.rbegin(), failed.rend());
-        const std::size_t few = std::max<std::size_t>(1, failed.size() / 3);
-        if (failed.size() < 2) return false;
-        const double theirs = std::accumulate(failed.begin(), failed.begin() + few, 0.0);
-        return theirs > kConcentrated * seen.all.failed;
+        std::vector<std::pair<double, Ticks>> hit; // each host's failures and start
+        for (const auto &[host, count] : seen.by_host)
+            hit.emplace_back(count.failed, hosts[host].entry.started);
+        if (hit.size() < 2) return false;
+        std::sort(hit.rbegin(), hit.rend());
+        const auto few = hit.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(1, hit.size() / 3));
+        const auto sum = [](double all, const auto &one) { return all + one.first; };
+        const auto older = [](const auto &a, const auto &b) { return a.second < b.second; };
+        const Ticks last = std::max_element(hit.begin(), few, older)->second;
+        const bool several = hit.size() > 5 && hit[1].first >= 3;
+        const bool eldest = several && last < std::min_element(few, hit.end(), older)->second;
+        return std::accumulate(hit.begin(), few, 0.0, sum) > kConcentrated * seen.all.failed && !eldest;
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
@@ -628,10 +630,9 @@
                count.failed > (bar + kTroubled * usual_share) * count.picks;
     }
 
-    // Even the better hosts slower since the trial began, and neither for more first tries nor for fewer
-    // sound hosts: the build slows or jams them all. Stops a build whose harm shows at no host of its own,
-    // also once released. Only where own arrivals tell the fleet's traffic; may blame it for a trouble of
-    // every host.
+    // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
+    // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where own
+    // arrivals tell the fleet's traffic; may blame it for a trouble of every host.
     bool slows_all() {
         const bool telling = terms.instances <= kFewRouters && tallies.empty() && !calm.limited;
         const bool fresh = watching() && released_at >= 0 && now - released_at < kWatch;
