--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -286,7 +286,7 @@
     void flagged(const std::string &host, Ticks age) override { take_flag(host, age); }
     void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
 
-    void finished(const std::string &id) override { mark_done(id); }
+    void finished(const std::string &id, int streams) override { mark_done(id, streams); }
 
     void news(const News &told) override {
         if (told.answers_vote) vote_counts = told.valid;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -127,7 +127,8 @@
     virtual void arrived(Arrival arrival) = 0;
     virtual void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
                        const std::vector<double> &report) = 0;
-    virtual void finished(const std::string &rpc) = 0; // the client left, or owns the stream that has started
+    // The client left (streams < 0), or owns the pick whose stream has started.
+    virtual void finished(const std::string &rpc, int streams) = 0;
     virtual void flagged(const std::string &host, Ticks age) = 0;
     virtual void news(const News &told) = 0;
     virtual void tally(const Tally &row) = 0;
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -262,14 +262,14 @@
         if (kind < 0 || kind > 3) wrong("kind", "out of range");
         return router.list(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
     }
-    if (cmd == "EXPIRED") return router.finished(text(event, "tid"));
+    if (cmd == "EXPIRED") return router.finished(text(event, "tid"), -1);
     if (cmd == "STEP_NEWS") return router.news(read_news(event));
     if (cmd == "TALLY")
         return router.tally({whole(event, "image"), whole(event, "service"), whole(event, "many"),
                              whole(event, "errors"), ticks(event, "old"),
                              has(event, "latency") ? number(event, "latency") : 0});
     if (cmd == "FLAGGED") return router.flagged(text(event, "host"), ticks(event, "old"));
-    if (cmd == "FLOWING") return router.finished(text(event, "tid"));
+    if (cmd == "FLOWING") return router.finished(text(event, "tid"), whole(event, "leg"));
     if (cmd == "PONG") return static_cast<void>(text(event, "host"));     // the module asks for no probes
     if (cmd == "WHISPER") return static_cast<void>(bytes(event, "blob")); // and sends no messages
     wrong("cmd", ("unknown event " + cmd).c_str());
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -264,9 +264,12 @@
         return &found->second;
     }
 
-    void mark_done(const std::string &id) {
+    // A pick that streams is the client's now: it is left alone.
+    void mark_done(const std::string &id, int streams) {
         const auto found = rpcs.find(id);
         if (found == rpcs.end()) return;
+        std::vector<Pick> &picks = found->second.picks;
+        if (streams >= 0 && streams < static_cast<int>(picks.size())) picks[streams].cut = true;
         found->second.done = true;
         enqueue(found->second);
     }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -23,6 +23,16 @@
     assert(bench.pull(Act::pick).empty() && bench.pull(Act::abort).empty());
 }
 
+// A started stream is the client's: it is not cut.
+void started_stream_is_left_alone() {
+    Bench bench(terms(Repeat::idempotent));
+    bench.host("a", 1);
+    bench.arrive("r", 1000);
+    bench.pull();
+    bench.router->finished("r", 0);
+    assert(bench.pull(Act::cut).empty());
+}
+
 // Rule 2: a non-idempotent pick that may have run is neither repeated nor pushed back.
 void possible_effect_is_not_repeated() {
     Bench bench(terms(Repeat::non_idempotent));
@@ -180,6 +190,48 @@
     }
 }
 
+// The release takes the earlier hosts away: it waits while a trial host is cold.
+void last_vote_waits_for_warm_hosts() {
+    for (const Ticks wait : {31000, 70000}) {
+        Terms given = trial_terms();
+        given.cold_for = 100000;
+        Bench bench(given);
+        bench.at(100000);
+        bench.host("n1", 2, 100000);
+        bench.host("n2", 2, 100000);
+        bench.news(2, 1, Phase::on_trial, 1);
+        bench.at(100000 + wait);
+        assert(bench.pull(Act::vote).size() == (wait > 60000 ? 1 : 0));
+    }
+}
+
+// A lone trial host's failures may be its own: no vote back, and the second stage after a while.
+void lone_trial_host_sends_nothing_back() {
+    Bench bench(trial_terms());
+    bench.host("only", 2);
+    bench.news(2, 0, Phase::on_trial, 1);
+    for (int i = 0; i < 40; ++i) bench.serve_failing_at("only");
+    for (const Decision &vote : bench.pull(Act::vote)) assert(vote.verdict != Verdict::back);
+    bench.at(100001);
+    const auto votes = bench.pull(Act::vote);
+    assert(!votes.empty() && votes[0].verdict == Verdict::on);
+}
+
+// Copies follow what a cold trial host can bear, far under the cap.
+void copies_spare_a_cold_trial() {
+    Bench bench(terms(Repeat::idempotent));
+    bench.at(100000);
+    bench.host("old", 1);
+    bench.host("new", 2, 99990);
+    bench.news(2, 0, Phase::on_trial, 1);
+    long copies = 0;
+    for (int i = 0; i < 60; ++i) {
+        bench.arrive(std::to_string(i) + "r", 200000);
+        for (const Decision &d : bench.pull(Act::pick)) copies += d.host == "new";
+    }
+    assert(copies > 0 && copies <= 2);
+}
+
 void timer_gate_holds() {
     Terms given = trial_terms();
     given.rollout.advance = Advance::timer;
@@ -249,6 +301,7 @@
 
 int main() {
     deadline_is_answered_once();
+    started_stream_is_left_alone();
     possible_effect_is_not_repeated();
     proof_of_no_run_allows_another_pick();
     token_window_ends_repeats();
@@ -263,6 +316,9 @@
     gate_votes_back_at_its_threshold();
     gate_votes_on_after_twenty_pairs();
     clean_balancer_votes_on_after_a_while();
+    last_vote_waits_for_warm_hosts();
+    lone_trial_host_sends_nothing_back();
+    copies_spare_a_cold_trial();
     timer_gate_holds();
     vote_back_stands();
     one_sick_host_is_not_the_build();
