Hosts drawn by weight, the best of a few taken; tallies judged beside own pairs

Cause: 147 routers that see next to nothing of each other all picked the hosts of the highest rating (318 to 472 picks at those rated 3, 77 to 131 at those rated 2). Now a router compares a few hosts drawn by weight, and where few routers share the load all of them; what others hold is estimated from reports; the speed of a kind of machine counts in its weight. Tallies are compared by method in failures and latency; the bar rises where hosts of the earlier build fail too and few hosts carry the trial. It should cover any late or partial view, not just many routers; it may hurt where one host really is best by far.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -18,17 +18,19 @@
 constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
 constexpr Ticks kLoneFor = 100000;    // in stage one on one host, whose failures may be its own
-constexpr double kTroubled = 2; // the earlier build's own share counts so often: trouble strikes unevenly
-constexpr double kLeastShare = 0.02;    // that share falls with the sample, to this
-constexpr double kHoldShare = 0.10;     // timer: hold above this share
-constexpr int kHoldPairs = 10;          // over so many pairs
-constexpr int kOnPairs = 20;            // pairs in the stage before a vote on
-constexpr int kOnDivergences = 1;       // at most so many of them diverging
-constexpr double kOnShare = 0.01;       // and so much of a large sample: machines fail a little anyway
-constexpr Ticks kOnAnyway = 30000;      // a clean balancer votes on after so long in a stage
-constexpr Ticks kVoteRenewal = 40000;   // votes renew
-constexpr Ticks kVoteRetry = 3000;      // a vote that was not counted is sent again
-constexpr double kSlowRatio = 1.5;      // median latency against the earlier build's
+constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
+constexpr double kLeastShare = 0.02;  // that share falls with the sample, to this
+constexpr double kHoldShare = 0.10;   // timer: hold above this share
+constexpr int kHoldPairs = 10;        // over so many pairs
+constexpr int kOnPairs = 20;          // pairs in the stage before a vote on
+constexpr int kOnDivergences = 1;     // at most so many of them diverging
+constexpr double kOnShare = 0.01;     // and so much of a large sample: machines fail a little anyway
+constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
+constexpr double kSlowChance = 3;     // over the root of the sample: what chance may add to a tallied latency
+constexpr Ticks kOnAnyway = 30000;    // a clean balancer votes on after so long in a stage
+constexpr Ticks kVoteRenewal = 40000; // votes renew
+constexpr Ticks kVoteRetry = 3000;    // a vote that was not counted is sent again
+constexpr double kSlowRatio = 1.5;    // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
 constexpr std::size_t kBesides = 50;    // latencies of the earlier build at the same time, to compare with
 constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
@@ -36,6 +38,7 @@
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
 
+constexpr double kTrafficRate = 0.06; // a beat, of the newest figure in the traffic
 constexpr double kPeakFade = 0.985;   // a beat, of the peak that traffic is remembered by
 constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
 constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
@@ -63,31 +66,31 @@
 constexpr int kRestStreak = 4; // failures in a row that rest a host
 constexpr Ticks kRest = 10000; // first rest; doubles up to eight times that
 
-constexpr double kRestShare = 0.4;    // at most this share of the hosts rests: the others must carry it
-constexpr double kForgive = 30000.0;  // a failure share halves in this time without picks
-constexpr double kSilence = 4.0;      // times the usual latency without any answer: silent
-constexpr double kUnwell = 2.5;       // latency over the fleet's that lets an RPC look elsewhere
-constexpr Ticks kReportAge = 15000;   // older load reports are not used
-constexpr double kReportTrust = 0.5;  // of what a report shows beyond own picks, as it is late
-constexpr double kWarmKeyCost = 0.75; // a host that has likely met the key is this much cheaper
-constexpr double kOlderCost = 3.0;    // a released build goes before those it replaces
-constexpr double kBudgetShare = 0.12; // further picks and copies, as a share of the RPCs
-constexpr double kBudgetMost = 30;    // saved up at most
-constexpr double kLookLatency = 3.0;  // usual latencies before an RPC looks elsewhere
-constexpr double kLookLeast = 0.3;    // of the soft deadline
-constexpr double kLookMost = 0.6;
-constexpr double kLateHigh = 0.65;   // mean latency over soft deadline: above, fewer open RPCs
-constexpr double kLateLow = 0.45;    // below, more
-constexpr double kCutLimit = 0.92;   // a step down of the limit
-constexpr double kRaiseLimit = 1.04; // a step up
-constexpr double kLeastWorth = 0.8;  // share of the limit open to the least useful method
-constexpr double kOverShare = 0.5;   // share of the limit open to a tenant past its quota
-constexpr double kColdSafety = 0.8;  // of the push that a cold host stands
-constexpr double kPaceFade = 0.997;  // a beat: what warm hosts took is remembered while none are left
-constexpr int kColdFloor = 2;        // picks a window that are always allowed
-constexpr Ticks kBeat = 1000;        // how often standing matters are looked at
-constexpr Ticks kAskAgain =
-    8000; // first wait after a failed call for the list; doubles up to four times that
+constexpr double kRestShare = 0.4;     // at most this share of the hosts rests: the others must carry it
+constexpr double kForgive = 30000.0;   // a failure share halves in this time without picks
+constexpr double kSilence = 4.0;       // times the usual latency without any answer: silent
+constexpr double kUnwell = 2.5;        // latency over the fleet's that lets an RPC look elsewhere
+constexpr Ticks kReportAge = 15000;    // older load reports are not used
+constexpr double kReportTrust = 0.5;   // of what a report shows beyond own picks, as it is late
+constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
+constexpr int kRingPoints = 4;         // places of a host on the ring of keys, so that their parts are alike
+constexpr double kWarmKeyCost = 0.75;  // a host that has likely met the key is this much cheaper
+constexpr double kOlderCost = 3.0;     // a released build goes before those it replaces
+constexpr double kBudgetShare = 0.12;  // further picks and copies, as a share of the RPCs
+constexpr double kBudgetMost = 30;     // saved up at most
+constexpr double kLookLatency = 3.0;   // usual latencies before an RPC looks elsewhere
+constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
+constexpr double kLateHigh = 0.65;                  // mean latency over soft deadline: above, fewer open RPCs
+constexpr double kLateLow = 0.45;                   // below, more
+constexpr double kCutLimit = 0.92;                  // a step down of the limit
+constexpr double kRaiseLimit = 1.04;                // a step up
+constexpr double kLeastWorth = 0.8;                 // share of the limit open to the least useful method
+constexpr double kOverShare = 0.5;                  // share of the limit open to a tenant past its quota
+constexpr double kColdSafety = 0.8;                 // of the push that a cold host stands
+constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
+constexpr int kColdFloor = 2;       // picks a window that are always allowed
+constexpr Ticks kBeat = 1000;       // how often standing matters are looked at
+constexpr Ticks kAskAgain = 8000;   // wait after a failed call for the list; doubles up to four times that
 
 constexpr Ticks kPause = 3000; // advice to a client that is pushed back
 
@@ -95,14 +98,19 @@
   public:
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
-    // --- bookkeeping ---
 
     double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
-    double weight(const Host &host) const { return rating(host) * warmth(host); }
-    double warmth(const Host &host) const {
-        if (host.entry.started <= 0) return 1;
-        const double grown = double(now - host.entry.started) / std::max<Ticks>(1, terms.cold_for);
-        return std::clamp(terms.cold_share + (1 - terms.cold_share) * grown, terms.cold_share, 1.0);
+    void weigh_hosts() {
+        if (!pools_due) return;
+        sound[0] = sound[1] = resting = 0;
+        for (Host &host : hosts) {
+            const auto kind = kind_excess.find(host.entry.kind);
+            host.weight = rating(host) * warmth(host);
+            if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
+            resting += usable(host) && host.rest_until > now;
+            if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
+        }
+        fill_pools(now - kReportAge, kRingPoints, kHostRate);
     }
 
     double fails(const Host &host) const {
@@ -118,8 +126,8 @@
     }
 
     double usual_latency(int method) const {
-        return usual_count[method] ? std::exp(usual[method])
-                                   : kLookLeast * terms.methods[method].soft_deadline;
+        if (usual_count[method] == 0) return kLookLeast * terms.methods[method].soft_deadline;
+        return std::exp(usual[method]);
     }
 
     void clock(Ticks at) override {
@@ -129,32 +137,26 @@
         if (armed <= now) armed = -1;
         if (now < beat_at) return;
         beat_at = now + kBeat;
-        const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
-        traffic += (arrivals / span - traffic) * 0.06;
-        arrivals = 0;
-        traffic_at = now;
+        pools_due = true;
+        count_traffic(kTrafficRate);
         forget(warm_picks, now - 10000);
-        while (!earlier.empty() && earlier.front().at < now - kEvidenceAge) earlier.pop_front();
-        while (!tallies.empty() && tallies.front().first < now - kEvidenceAge) tallies.pop_front();
+        forget_evidence(now - kEvidenceAge);
         double warm = 0;
-        lately.sound = 0;
-
         std::vector<double> excess, all;
         for (const Host &host : hosts) {
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
-            if (usable(host) && well(host)) lately.sound += weight(host);
             if (!usable(host) || now - host.entry.started < kColdSkip) continue;
             all.push_back(host.excess);
             if (!on_trial(host.entry.build)) excess.push_back(host.excess);
         }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
         lately.limited = limit > 0;
+        lately.sound = sound[0] + sound[1];
         if (!excess.empty()) lately.fleet = median(excess);
         std::sort(all.begin(), all.end());
         if (!all.empty()) lately.better = all[all.size() / 4];
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
-        Count served;
-        for (const Sample &sample : earlier) served.add(1, sample.failed);
+        const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
         bend_limit();
     }
@@ -179,15 +181,7 @@
         budget = std::min(kBudgetMost, budget + kBudgetShare);
         Rpc rpc{std::move(from), 0};
         rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
-        if (!tokens.empty()) {
-            for (std::size_t i = 0; i < tokens.size(); ++i) {
-                const double quota = terms.tenant_quotas[i] / terms.instances;
-                tokens[i] = std::min(quota, tokens[i] + quota * (now - tokens_at) / 10000.0);
-            }
-            tokens_at = now;
-            rpc.over_share = terms.tenant_quotas.at(rpc.from.tenant) > 0 && tokens[rpc.from.tenant] < 1;
-            if (!rpc.over_share) tokens[rpc.from.tenant] -= 1;
-        }
+        rpc.over_share = !within_quota(rpc.from.tenant);
         due.emplace(rpc.from.deadline, rpc.from.id);
         const std::string id = rpc.from.id;
         enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
@@ -212,7 +206,7 @@
         const bool timed = served || pick.outcome == Outcome::too_slow;
         const double excess = excess_of(pick, method, took);
         if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
-        const double ratio = static_cast<double>(took) / method_of(rpc).soft_deadline;
+        const double ratio = double(took) / method_of(rpc).soft_deadline;
         if (timed) late += (std::min(ratio, 1.5) - late) * 0.02;
         of(pick.build).proven[method] += served;
         if (pick.on_trial) {
@@ -233,12 +227,9 @@
     // refusing hosts; never so many at once that the rest would be swamped.
     void rest_if_failing(Host &host) {
         if (host.streak < kRestStreak || host.rest_until > now) return;
-        double resting = 1, all = 0;
-        for (const Host &other : hosts) {
-            all += usable(other);
-            resting += usable(other) && other.rest_until > now;
-        }
-        if (resting > std::max(1.0, all * kRestShare)) return;
+        const auto all = static_cast<double>(pools[0].hosts.size() + pools[1].hosts.size());
+        if (resting + 1 > std::max(1.0, all * kRestShare)) return;
+        ++resting;
         host.rest = std::clamp(host.rest * 2, kRest, kRest * 8);
         host.rest_until = now + host.rest;
     }
@@ -285,7 +276,6 @@
     void list(const std::vector<HostEntry> &entries, bool whole) override { take_list(entries, whole); }
     void flagged(const std::string &host, Ticks age) override { take_flag(host, age); }
     void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
-
     void finished(const std::string &id, int streams) override { mark_done(id, streams); }
 
     void news(const News &told) override {
@@ -306,6 +296,7 @@
         }
         known = told;
         has_news = true;
+        pools_due = true;
     }
 
     // --- guards: every pick and pushback passes here ---
@@ -373,12 +364,18 @@
         return host.open > 0 && now - host.quiet_since > kSilence * usual_latency(method);
     }
 
+    // What other routers hold at a host: its report, filled up from what is usual for its weight. A lone
+    // router knows all by its own open picks.
+    double held_by_others(const Host &host, const Pool &pool) const {
+        const double usual_there = pool.others * host.weight;
+        if (host.others_at < 0 || now - host.others_at > kReportAge) return usual_there;
+        const double told = (1 - 1.0 / terms.instances) * host.others;
+        return usual_there + kReportTrust * (told - usual_there);
+    }
+
     double cost(const Rpc &rpc, const Host &host) {
-        // Others' work at the host, from its report; a lone router knows all by its own open picks.
-        double held = host.open;
-        if (host.held_at >= 0 && now - host.held_at < kReportAge)
-            held += kReportTrust * (1 - 1.0 / terms.instances) * std::max(0.0, host.held - host.open);
-        double cost = (held + 1) / weight(host);
+        const double held = 1 + host.open + held_by_others(host, pools[on_trial(host.entry.build)]);
+        double cost = held / host.weight;
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
@@ -388,26 +385,32 @@
         return cost * (0.9 + 0.2 * rng.unit());
     }
 
+    // The best of some hosts drawn by weight: of all where few routers share the load, of a few where many
+    // do. Stops routers that see little of the load, and that late, from all picking the same host.
     int choose(const Rpc &rpc, bool trial, double *price_of = nullptr) {
-        int favourite = -1, best = -1, last = -1;
+        weigh_hosts();
+        const Pool &pool = pools[trial];
+        if (pool.hosts.empty()) return -1;
+        int best = -1, last = -1;
         double least = 0, least_last = 0;
-        std::uint64_t top = 0;
-        const bool warm_keys = terms.rollout.warm_keys && !rpc.from.key.empty();
-        const int count = static_cast<int>(hosts.size());
-        for (int i = 0; warm_keys && i < count; ++i) {
-            if (!usable(hosts[i]) || on_trial(hosts[i].entry.build) != trial) continue;
-            const std::uint64_t score = mix(rpc.from.key, mix(hosts[i].entry.id, 3));
-            if (score >= top) top = score, favourite = i;
-        }
-        for (int i = 0; i < count; ++i) {
-            if (!eligible(rpc, hosts[i], trial)) continue;
+        const bool warm_key = terms.rollout.warm_keys && !rpc.from.key.empty();
+        const int favourite = warm_key ? pool.keeper(mix(rpc.from.key, 3)) : -1;
+        const auto consider = [&](int i) {
+            if (!eligible(rpc, hosts[i], trial)) return;
             const double price = cost(rpc, hosts[i]) * (i == favourite ? kWarmKeyCost : 1);
             if (used(rpc, i) || hosts[i].rest_until > now) {
                 if (last < 0 || price < least_last) last = i, least_last = price;
             } else if (best < 0 || price < least) {
                 best = i, least = price;
             }
+        };
+        const std::size_t sample = std::max(kLeastDrawn, pool.hosts.size() * 2 / terms.instances);
+        if (sample < pool.hosts.size()) {
+            if (favourite >= 0) consider(favourite);
+            for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit()));
         }
+        if (best < 0)
+            for (const int i : pool.hosts) consider(i);
         if (price_of) *price_of = best >= 0 ? least : least_last;
         return best >= 0 ? best : last;
     }
@@ -415,11 +418,8 @@
     // --- the mechanism ---
     // The trial's part of the capacity, its cold hosts counted for what they can do by now.
     double trial_part() const {
-        double there = 0, before = 0;
-        for (const Host &host : hosts)
-            if (usable(host) && well(host)) (on_trial(host.entry.build) ? there : before) += weight(host);
-        const double places = terms.rollout.replaces ? before + there : before;
-        return places > 0 ? std::min(1.0, there / places) : 1;
+        const double places = sound[0] + (terms.rollout.replaces ? sound[1] : 0);
+        return places > 0 ? std::min(1.0, sound[1] / places) : 1;
     }
 
     // The trial's share of a method's real RPCs: in step with its places, a stage apart by repeat.
@@ -452,22 +452,21 @@
         rpc.look_at = now + look_wait(rpc.from.method);
         if (method.repeat != Repeat::non_idempotent) due.emplace(rpc.look_at, rpc.from.id);
         const Ticks left = rpc.from.deadline - now;
-        const Ticks patience = std::max<Ticks>(1, copy ? std::min(left, method.soft_deadline * 2) : left);
-        return {.act = Act::pick, .rpc = rpc.from.id, .host = host.entry.id, .span = patience};
+        const Ticks span = std::max<Ticks>(1, copy ? std::min(left, method.soft_deadline * 2) : left);
+        return {.act = Act::pick, .rpc = rpc.from.id, .host = host.entry.id, .span = span};
     }
 
     Ticks look_wait(int method) const {
-        const auto aim = static_cast<double>(terms.methods[method].soft_deadline);
-        const double wait = usual_latency(method) * kLookLatency;
-        return static_cast<Ticks>(std::clamp(wait, aim * kLookLeast, aim * kLookMost));
+        const double aim = terms.methods[method].soft_deadline;
+        return std::clamp<double>(usual_latency(method) * kLookLatency, aim * kLookLeast, aim * kLookMost);
     }
 
     Decision finish(Rpc &rpc, bool push_back) {
         rpc.done = true;
         if (!push_back || !may_push_back(rpc)) return {.act = Act::abort, .rpc = rpc.from.id};
-        const Ticks pause = kPause + static_cast<Ticks>(kPause * rng.unit());
-        const Ticks advice = terms.advise_pause ? std::min(terms.max_pause, pause) : 0;
-        return {.act = Act::push_back, .rpc = rpc.from.id, .span = advice};
+        const auto pause = static_cast<Ticks>(kPause * (1 + rng.unit()));
+        const Ticks most = terms.advise_pause ? terms.max_pause : 0;
+        return {.act = Act::push_back, .rpc = rpc.from.id, .span = std::min(most, pause)};
     }
 
     // Pushback under a limit: least utility for its work first, tenants past their quota before all.
@@ -493,9 +492,8 @@
             const int target = spare && budget >= 1 ? choose(rpc, true) : -1;
             if (target >= 0) return send(rpc, target, true);
         }
-        const auto count = open_picks(rpc);
-        if (count == 1 && spare) return look_elsewhere(rpc);
-        if (count > 0) return {};
+        if (const auto count = open_picks(rpc); count > 0)
+            return count == 1 && spare ? look_elsewhere(rpc) : Decision{};
         const bool paid = budget >= 1 || (unrun(rpc) && budget > -kBudgetMost);
         if (spare && paid && rpc.from.deadline - now > usual_latency(rpc.from.method) / 2) {
             int target = choose(rpc, false);
@@ -550,8 +548,7 @@
         return {.act = Act::cut, .rpc = rpc.from.id, .pick = static_cast<int>(at - rpc.picks.begin())};
     }
 
-    // Losers of a finished RPC are cut; a copy runs on, as its end is evidence, unless there is no room for
-    // it.
+    // Losers of a finished RPC are cut; a copy runs on, as its end is evidence, unless there is no room.
     Decision cut_rest(Rpc &rpc) {
         for (Pick &pick : rpc.picks) {
             if (!pick.open || pick.cut || (pick.copy && limit <= 0) || !terms.may_cut) continue;
@@ -563,35 +560,30 @@
 
     // --- votes ---
     Evidence gather(const Build &build) const {
-        Evidence seen;
-        seen.by_method.resize(terms.methods.size());
-        std::map<int, std::vector<double>> excess;
-        const Ticks of_late = now - kEvidenceAge / 2;
-        std::vector<double> beside, medians;
-        for (const Sample &sample : build.samples) {
-            if (sample.at < now - kEvidenceAge) continue;
-            seen.all.add(1, sample.failed);
-            seen.by_method[sample.method].add(1, sample.failed);
-            seen.by_host[sample.host].add(1, sample.failed);
-            if (sample.at >= stage_at) seen.stage.add(1, sample.failed);
-            if (sample.timed && sample.at > of_late) excess[sample.host].push_back(sample.excess);
-        }
-        for (const Sample &sample : earlier)
-            if (sample.timed && sample.at > of_late) beside.push_back(sample.excess);
-        for (auto &[host, values] : excess)
-            if (values.size() >= kSlowSample && beside.size() >= kBesides) medians.push_back(median(values));
-        if (medians.empty() || trial_part() > kMinority) return seen;
+        Evidence seen = collect(build, now - kEvidenceAge, now - kEvidenceAge / 2, kSlowSample);
+        seen.usual = earlier_fails;
+        if (seen.medians.empty() || seen.beside.size() < kBesides || trial_part() > kMinority) return seen;
         // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
-        std::sort(medians.begin(), medians.end());
-        // Beside a trial that took their traffic the earlier hosts run lighter than before: the higher
-        // counts.
-        seen.slow = medians[(medians.size() - 1) / 2] - std::max(median(beside), calm.fleet);
-        const double ratio = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
-        seen.slow_bar = std::log(ratio * (1 + kFewHosts / static_cast<double>(medians.size())));
+        // Beside a trial that took their traffic the earlier hosts run lighter: the higher figure counts.
+        const double bar = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
+        seen.slow = seen.medians[(seen.medians.size() - 1) / 2] - std::max(median(seen.beside), calm.fleet);
+        seen.slow_bar = std::log(bar * (1 + kFewHosts / static_cast<double>(seen.medians.size())));
         return seen;
     }
 
+    // What the platform counted for all routers. Stops a build that no router alone has pairs enough to find;
+    // late by seconds, and blind to which hosts failed.
+    Evidence gather_told() const {
+        Evidence told = compare_tallies(kBackPairs);
+        if (told.timed < kBackPairs) told.slow = 0;
+        const double chance = kSlowChance / std::sqrt(std::max(1.0, told.timed));
+        told.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / hosts_there())) + chance;
+        return told;
+    }
+
+    double hosts_there() const { return std::max<std::size_t>(1, pools[trial_runs()].hosts.size()); }
+
     // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
     // silent host under the trial. Not so where the eldest fail together: that build turns bad with age.
     bool host_explains(const Evidence &seen) const {
@@ -622,12 +614,20 @@
         return at->second.flags * gain - at->second.answers * (bad_rate - usual_rate);
     }
 
-    // The share that speaks against a build falls as the sample grows, since chance has less room. Stops a
-    // build that fails a tenth of its picks, always or when busy, from passing under the first sample's bar.
-    bool fails_much(const Count &count, int least, double share, double usual_share) const {
-        const double bar = std::max(kLeastShare, share * least / std::max<double>(least, count.picks));
-        return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
-               count.failed > (bar + kTroubled * usual_share) * count.picks;
+    // The share that speaks against a build falls as the sample grows. Stops a build that fails a tenth of
+    // its picks, always or when busy, from passing under the first sample's bar. Where the earlier build
+    // fails too the bar rises: trouble strikes hosts, and few hosts unevenly.
+    bool fails_much(const Evidence &seen) const {
+        const auto much = [&](const Count &count, int least, double share) {
+            const double picks = std::max<double>(least, count.picks);
+            const double uneven = kUneven * std::sqrt(seen.usual * (1 / hosts_there() + 1 / picks));
+            const double bar = std::max(kLeastShare, share * least / picks) + seen.usual + uneven;
+            return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
+                   count.failed > bar * count.picks;
+        };
+        return much(seen.all, kBackPairs, kBackShare) ||
+               std::any_of(seen.by_method.begin(), seen.by_method.end(),
+                           [&](const Count &count) { return much(count, kMethodPairs, kMethodShare); });
     }
 
     // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
@@ -636,54 +636,54 @@
     bool slows_all() {
         const bool telling = terms.instances <= kFewRouters && tallies.empty() && !calm.limited;
         const bool fresh = watching() && released_at >= 0 && now - released_at < kWatch;
-        const bool alike = lately.sound > calm.sound * kSharedSound;
         const double more = std::max(0.0, std::log(lately.traffic / std::max(1e-9, calm.traffic)));
         const bool risen = lately.better - calm.better > std::log(kSharedRise) + kLoadRise * more;
         const bool at_issue = fresh || (trial_runs() && known.stage > 0);
-        return lasts(at_issue && telling && alike && risen, suspect_since, kSharedFor);
+        return lasts(at_issue && telling && risen && lately.sound > calm.sound * kSharedSound, suspect_since,
+                     kSharedFor);
     }
 
     Verdict judgement() {
-        const Evidence seen = gather(of(known.build));
-        const double usual_share = earlier_fails, odds = flag_odds(known.build);
+        const Evidence seen = gather(of(known.build)), told = gather_told();
+        const double odds = flag_odds(known.build);
         if (odds > kFlagProof) return back("flags", seen, odds);
-        bool failing = fails_much(seen.all, kBackPairs, kBackShare, usual_share);
-        for (int i = 0; i < static_cast<int>(terms.methods.size()); ++i) {
-            failing = failing || fails_much(seen.by_method[i], kMethodPairs, kMethodShare, usual_share);
-            const Count told = tallied(known.build, i), before = tallied(known.build - 1, i);
-            const bool enough = trial_runs() && std::min(told.picks, before.picks) >= kBackPairs;
-            failing = failing || (enough && told.share() > kMethodShare + kTroubled * before.share());
-        }
-        // A lone host's failures may be its own. The trial waits there, where it can do little harm, then
-        // goes on to the second stage: more hosts tell the two apart.
-        const bool lone = trial_runs() && seen.by_host.size() == 1;
-        if (lone && known.stage == 0 && now - stage_at > kLoneFor && terms.rollout.advance != Advance::timer)
-            return Verdict::on;
-        if (failing && !lone && !host_explains(seen)) return back("failures", seen, usual_share);
+        const bool enough = trial_runs() && told.before.picks >= kBackPairs;
+        const bool failing = fails_much(seen) || (enough && fails_much(told));
+        // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
+        const bool lone = trial_runs() && pools[1].hosts.size() == 1;
+        const bool waited = now - stage_at > kLoneFor;
+        if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
+        if (failing && !lone && !host_explains(seen))
+            return back("failures", fails_much(seen) ? seen : told, seen.usual);
         if (slows_all()) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
-        if (lasts(slow, slow_since, kSlowFor)) return back("latency", seen, std::exp(seen.slow));
+        const bool told_slow = enough && told.slow > told.slow_bar;
+        if (lasts(slow, slow_since, kSlowFor) && !lone) return back("latency", seen, std::exp(seen.slow));
+        if (told_slow && !lone) return back("tallied latency", told, std::exp(told.slow));
         if (terms.rollout.advance == Advance::timer) {
-            const bool doubtful = seen.all.picks >= kHoldPairs && seen.all.share() > kHoldShare + usual_share;
+            const bool doubtful = seen.all.picks >= kHoldPairs && seen.all.share() > kHoldShare + seen.usual;
             return doubtful || slow || suspect_since >= 0 ? Verdict::hold : Verdict::none;
         }
         // A trial that others must spare load is not proven for more: slow builds, and those bad when busy.
         if (failing || slow || suspect_since >= 0 || yielding > kYieldMost) return Verdict::none;
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
-        const auto cold = [&](const Host &h) {
-            return usable(h) && on_trial(h.entry.build) && warmth(h) < kWarmEnough;
-        };
-        if (last && std::any_of(hosts.begin(), hosts.end(), cold)) return Verdict::none;
-        const double borne = kOnDivergences + (usual_share + kOnShare) * seen.stage.picks;
+        const auto cold = [&](int i) { return warmth(hosts[i]) < kWarmEnough; };
+        if (last && std::any_of(pools[1].hosts.begin(), pools[1].hosts.end(), cold)) return Verdict::none;
+        // Nor on the word of a router that saw little where all routers' figures lack or are in doubt.
+        const double needed = last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0;
+        const bool unproven = told.all.picks < needed && !waited;
+        if (enough && (unproven || told.slow > told.slow_bar / 2)) return Verdict::none;
+        const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
     }
 
     Verdict back(const std::string &cause, const Evidence &seen, double figure) {
+        const Count &all = seen.all;
         if (voted != Verdict::back)
-            log("back for " + cause + ": %.0f of %.0f, %.2f", seen.all.failed, seen.all.picks, figure);
+            log("back for " + cause + ": %.0f of %.0f, %.2f", all.failed, all.picks, figure);
         return Verdict::back;
     }
 
@@ -708,6 +708,7 @@
     }
 
     Decision next() override {
+        weigh_hosts();
         for (; !todo.empty(); todo.pop_front()) {
             const auto found = rpcs.find(todo.front());
             if (found == rpcs.end()) continue;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -65,11 +65,30 @@
     Ticks rest = 0; // its next one; 0: the first
     Ticks quiet_since = 0;
     Ticks full_until = 0;
-    double held = 0;            // RPCs there, as reported
-    Ticks held_at = -1;         // never: below 0
+    double weight = 0;          // what it can do beside the others
+    double others = 0;          // RPCs of other routers there, as reported
+    Ticks others_at = -1;       // never: below 0
     std::deque<Ticks> pushed{}; // picks while cold
 };
 
+// The hosts that may be picked of one side, and where keys fall among them.
+struct Pool {
+    std::vector<int> hosts;
+    std::vector<double> upto;                        // weight of the hosts up to this one
+    std::vector<std::pair<std::uint64_t, int>> ring; // some places for each host
+    double others = 0;                               // RPCs of other routers for each unit of weight
+
+    double total() const { return upto.empty() ? 0 : upto.back(); }
+    int drawn(double unit) const {
+        const auto at = std::upper_bound(upto.begin(), upto.end() - 1, unit * total());
+        return hosts[at - upto.begin()];
+    }
+    int keeper(std::uint64_t key) const {
+        const auto at = std::lower_bound(ring.begin(), ring.end(), std::pair{key, 0});
+        return (at == ring.end() ? ring.front() : *at).second;
+    }
+};
+
 struct Sample {
     Ticks at;
     int method;
@@ -82,8 +101,12 @@
 struct Count {
     double picks = 0;
     double failed = 0;
+    double pace = 0; // log latencies of those that did not fail
     double share() const { return picks > 0 ? failed / picks : 0; }
-    void add(double more, double bad) { picks += more, failed += bad; }
+    double served() const { return picks - failed; }
+    void add(double more, double bad, double mean_pace = 0) {
+        picks += more, failed += bad, pace += (more - bad) * mean_pace;
+    }
 };
 
 struct Build {
@@ -97,12 +120,16 @@
 };
 
 struct Evidence {
-    Count all, stage;
+    Count all, stage, before; // before: the earlier build's
     std::vector<Count> by_method;
     std::map<int, Count> by_host;
-    double slow = 0; // log of the better hosts' median latency over the earlier hosts'
+    std::vector<double> medians, beside; // log excess latency: the hosts' medians, the earlier hosts' picks
+    double timed = 0;                    // picks that the latency stands on
+    double usual = 0;                    // the earlier build's failure share
+    double slow = 0;                     // log of its latency over the earlier build's
     double slow_bar = 0;
 };
+
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
 struct Figures {
     double traffic = 0;
@@ -126,6 +153,10 @@
     Ticks now = 0, armed = -1, beat_at = 0;
     std::vector<Host> hosts;
     std::unordered_map<std::string, int> host_at;
+    Pool pools[2]; // the earlier builds' and the trial's
+    bool pools_due = true;
+    double sound[2] = {0, 0};                  // weight of the well ones on either side
+    double resting = 0;                        // how many
     std::unordered_map<std::string, Rpc> rpcs; // looked up, never walked
     std::deque<std::string> todo, lines;
     using Due = std::pair<Ticks, std::string>;
@@ -203,14 +234,15 @@
             host.listed = entry.standing != Standing::gone;
         }
         ask_wait = 0;
+        pools_due = true;
     }
 
     void note_report(Host &host, const std::vector<double> &report) {
         for (std::size_t i = 0; i < report.size() && i < terms.report_fields.size(); ++i) {
             const bool waiting = terms.report_fields[i] == "backlog";
             if (!waiting && terms.report_fields[i] != "outstanding") continue;
-            host.held = waiting ? host.open + report[i] : report[i];
-            host.held_at = now;
+            host.others = waiting ? report[i] : std::max(0.0, report[i] - host.open);
+            host.others_at = now;
         }
     }
 
@@ -221,6 +253,53 @@
         if (entry.started <= now - age) of(entry.build).flags += 1; // else another process answered
     }
 
+    double warmth(const Host &host) const {
+        if (host.entry.started <= 0) return 1;
+        const double grown = double(now - host.entry.started) / std::max<Ticks>(1, terms.cold_for);
+        return std::clamp(terms.cold_share + (1 - terms.cold_share) * grown, terms.cold_share, 1.0);
+    }
+
+    // Sorts the usable hosts by side. What others hold comes from reports since `fresh`, else from own picks.
+    void fill_pools(Ticks fresh, int points, double rate) {
+        pools_due = false;
+        double told[2] = {0, 0}, there[2] = {0, 0}, own[2] = {0, 0};
+        for (Pool &pool : pools) pool.hosts.clear(), pool.upto.clear(), pool.ring.clear();
+        for (int i = 0; i < static_cast<int>(hosts.size()); ++i) {
+            const Host &host = hosts[i];
+            if (!usable(host)) continue;
+            const bool trial = on_trial(host.entry.build);
+            Pool &pool = pools[trial];
+            pool.hosts.push_back(i);
+            pool.upto.push_back(pool.total() + host.weight);
+            for (int point = 0; point < points; ++point)
+                pool.ring.emplace_back(mix(host.entry.id, 3 + point), i);
+            own[trial] += host.open;
+            if (host.others_at >= 0 && host.others_at >= fresh)
+                told[trial] += host.others, there[trial] += host.weight;
+        }
+        const double rest = terms.instances - 1.0;
+        for (int side = 0; side < 2; ++side) {
+            Pool &pool = pools[side];
+            std::sort(pool.ring.begin(), pool.ring.end());
+            if (pool.hosts.empty()) continue;
+            const double shown = there[side] > 0 ? rest / terms.instances * told[side] / there[side]
+                                                 : rest * own[side] / pool.total();
+            pool.others += (shown - pool.others) * rate;
+        }
+    }
+
+    bool within_quota(int tenant) {
+        for (std::size_t i = 0; i < tokens.size(); ++i) {
+            const double quota = terms.tenant_quotas[i] / terms.instances;
+            tokens[i] = std::min(quota, tokens[i] + quota * (now - tokens_at) / 10000.0);
+        }
+        tokens_at = now;
+        if (tokens.empty() || terms.tenant_quotas.at(tenant) <= 0) return true;
+        if (tokens[tenant] < 1) return false;
+        tokens[tenant] -= 1;
+        return true;
+    }
+
     bool unrun(const Rpc &rpc) const {
         return std::all_of(rpc.picks.begin(), rpc.picks.end(),
                            [](const Pick &pick) { return !pick.open && proves_unrun(pick.outcome); });
@@ -231,11 +310,48 @@
                            [&](const Pick &p) { return p.host == target; });
     }
 
-    Count tallied(int build, int method) const {
-        Count count;
+    // Own picks of the trial's build; the medians of those hosts that have so many timed ones of late.
+    Evidence collect(const Build &build, Ticks since, Ticks of_late, std::size_t least) const {
+        Evidence seen;
+        seen.by_method.resize(terms.methods.size());
+        std::map<int, std::vector<double>> excess;
+        for (const Sample &sample : build.samples) {
+            if (sample.at < since) continue;
+            seen.all.add(1, sample.failed);
+            seen.by_method[sample.method].add(1, sample.failed);
+            seen.by_host[sample.host].add(1, sample.failed);
+            if (sample.at >= stage_at) seen.stage.add(1, sample.failed);
+            if (sample.timed && sample.at > of_late) excess[sample.host].push_back(sample.excess);
+        }
+        for (auto &[host, values] : excess)
+            if (values.size() >= least) seen.medians.push_back(median(values));
+        std::sort(seen.medians.begin(), seen.medians.end());
+        for (const Sample &sample : earlier)
+            if (sample.timed && sample.at > of_late) seen.beside.push_back(sample.excess);
+        return seen;
+    }
+
+    // What was tallied of the trial's build beside those before it; latency by method, from so many picks on.
+    Evidence compare_tallies(double least) const {
+        Evidence told;
+        std::vector<Count> before(terms.methods.size());
+        told.by_method.resize(terms.methods.size());
         for (const auto &[at, row] : tallies)
-            if (row.build == build && row.method == method) count.add(row.picks, row.failed);
-        return count;
+            if (row.build <= known.build)
+                (row.build == known.build ? told.by_method : before)
+                    .at(row.method)
+                    .add(row.picks, row.failed, std::log(std::max(1e-4, row.latency)));
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            const Count &one = told.by_method[i], &other = before[i];
+            told.all.add(one.picks, one.failed);
+            told.before.add(other.picks, other.failed);
+            if (one.served() <= 0 || other.served() < least) continue;
+            told.slow += one.pace - one.served() * other.pace / other.served();
+            told.timed += one.served();
+        }
+        told.usual = told.before.share();
+        told.slow /= std::max(1.0, told.timed);
+        return told;
     }
 
     double excess_of(const Pick &pick, int method, Ticks took) {
@@ -248,6 +364,24 @@
         while (!times.empty() && times.front() < before) times.pop_front();
     }
 
+    void count_traffic(double rate) {
+        const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
+        traffic += (arrivals / span - traffic) * rate;
+        arrivals = 0;
+        traffic_at = now;
+    }
+
+    void forget_evidence(Ticks before) {
+        while (!earlier.empty() && earlier.front().at < before) earlier.pop_front();
+        while (!tallies.empty() && tallies.front().first < before) tallies.pop_front();
+    }
+
+    Count count_earlier() const {
+        Count count;
+        for (const Sample &sample : earlier) count.add(1, sample.failed);
+        return count;
+    }
+
     static auto open_picks(const Rpc &rpc) {
         return std::count_if(rpc.picks.begin(), rpc.picks.end(), [](const Pick &pick) { return pick.open; });
     }
