Tallied picks asked for in step with how few routers decide

Where 60% of the routers must agree, the word of one that saw little is no danger; asking for tallied picks there only delayed.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -98,7 +98,6 @@
   public:
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
-
     double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     void weigh_hosts() {
         if (!pools_due) return;
@@ -671,8 +670,10 @@
         const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
         const auto cold = [&](int i) { return warmth(hosts[i]) < kWarmEnough; };
         if (last && std::any_of(pools[1].hosts.begin(), pools[1].hosts.end(), cold)) return Verdict::none;
-        // Nor on the word of a router that saw little where all routers' figures lack or are in doubt.
-        const double needed = last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0;
+        // Nor on the word of a few routers, each of which saw little, where the figures of all lack or are in
+        // doubt: the fewer of them must agree, the more these must hold.
+        const double alone = 1 - std::min(1.0, double(terms.rollout.on_votes) / terms.instances);
+        const double needed = alone * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
         const bool unproven = told.all.picks < needed && !waited;
         if (enough && (unproven || told.slow > told.slow_bar / 2)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.stage.picks;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -33,6 +33,7 @@
     bool keys_stay;
     bool warm_keys;
     int guarded_stages;
+    int on_votes; // routers that must stand for going on; 0 under a timer
     double free_picks;
     double flag_share;
     Ticks window;
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -127,6 +127,7 @@
     rollout.keys_stay = flag(from, "keysStay");
     rollout.warm_keys = mark(from, "warmKeys");
     rollout.guarded_stages = whole(from, "guardedStages");
+    rollout.on_votes = whole(from, "toAdvance");
     rollout.free_picks = number(from, "uncounted");
     rollout.flag_share = number(from, "flagShare");
     rollout.window = ticks(from, "window");
