Refusing hosts cost more for a while; inputs that decide nothing moved to the state

Cause: where hosts take few connections a router went on trying all of them, used up an RPC's picks on refusals (0.5 ms each) and rested hosts for it. Now a refusal in a row raises a host's cost, fading; refusals cost no retry budget and are no failure of host or build; tallied failures are read less own refusals. Covers dead hosts too; may hurt where a host refuses once by chance and few others stand.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace pineridge {
 namespace {
@@ -68,6 +69,7 @@
 
 constexpr double kRestShare = 0.4;     // at most this share of the hosts rests: the others must carry it
 constexpr double kForgive = 30000.0;   // a failure share halves in this time without picks
+constexpr double kRefused = 3;         // cost of a host for each connection in a row that it did not take
 constexpr double kSilence = 4.0;       // times the usual latency without any answer: silent
 constexpr double kUnwell = 2.5;        // latency over the fleet's that lets an RPC look elsewhere
 constexpr Ticks kReportAge = 15000;    // older load reports are not used
@@ -94,7 +96,7 @@
 
 constexpr Ticks kPause = 3000; // advice to a client that is pushed back
 
-class Decider final : public Router, Instance {
+class Decider final : public Instance {
   public:
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
@@ -174,25 +176,15 @@
         }
     }
 
-    void arrived(Arrival from) override {
-        taken.at(from.method).push_back(now);
-        arrivals += !from.retry;
-        budget = std::min(kBudgetMost, budget + kBudgetShare);
-        Rpc rpc{std::move(from), 0};
-        rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
-        rpc.over_share = !within_quota(rpc.from.tenant);
-        due.emplace(rpc.from.deadline, rpc.from.id);
-        const std::string id = rpc.from.id;
-        enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
-    }
-
     void learn(const Rpc &rpc, const Pick &pick, Ticks took) {
         Host &host = hosts[pick.host];
         const int method = rpc.from.method;
         // In a jam time-outs tell of the load; only then are they left out of the evidence.
         const bool jam = limit > 0 && pick.outcome == Outcome::too_slow;
         const bool served = pick.outcome == Outcome::ok, diverged = diverges(pick.outcome) && !jam;
-        const bool failed = diverges(pick.outcome) || pick.outcome == Outcome::no_route;
+        const bool failed = diverges(pick.outcome), refused = pick.outcome == Outcome::no_route;
+        host.refusals = refused ? host.refusals + 1 : pick.outcome == Outcome::too_slow ? host.refusals : 0;
+        if (refused) host.refused_at = now;
         if (pick.outcome == Outcome::no_room) host.full_until = now + kBeat / 2;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
@@ -208,6 +200,7 @@
         const double ratio = double(took) / method_of(rpc).soft_deadline;
         if (timed) late += (std::min(ratio, 1.5) - late) * 0.02;
         of(pick.build).proven[method] += served;
+        of(pick.build).tried.add(1, proves_unrun(pick.outcome));
         if (pick.on_trial) {
             if (!pick.copy && (served || diverged)) judge(rpc, pick, diverged, excess);
             return;
@@ -272,32 +265,6 @@
         enqueue(rpc);
     }
 
-    void list(const std::vector<HostEntry> &entries, bool whole) override { take_list(entries, whole); }
-    void flagged(const std::string &host, Ticks age) override { take_flag(host, age); }
-    void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
-    void finished(const std::string &id, int streams) override { mark_done(id, streams); }
-
-    void news(const News &told) override {
-        if (told.answers_vote) vote_counts = told.valid;
-        if (!told.valid) return;
-        const bool other = !has_news || told.build != known.build;
-        if (other || told.stage != known.stage || told.phase != known.phase) {
-            if (trial_runs() && told.phase == Phase::released && !other) released_at = now;
-            if (other || (told.phase != known.phase && told.phase != Phase::released)) {
-                calm = lately;
-                yielding = 0;
-                suspect_since = slow_since = -1;
-            }
-            stage_at = now - told.age;
-            voted = Verdict::none;
-            log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage, int(told.phase));
-            if (told.phase != Phase::on_trial) of(told.build).range.clear();
-        }
-        known = told;
-        has_news = true;
-        pools_due = true;
-    }
-
     // --- guards: every pick and pushback passes here ---
     // Rule 2: may this RPC have a pick at this host, after those it had?
     bool may_repeat(const Rpc &rpc, const Host &target) const {
@@ -377,6 +344,10 @@
         double cost = held / host.weight;
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
+        // A host that takes no connection is left for those that do, a little longer each time. Stops dead
+        // hosts and crowded ones from using up an RPC's picks; keeps a router to hosts that know it.
+        const double ago = static_cast<double>(now - host.refused_at);
+        cost *= 1 + kRefused * host.refusals * std::exp2(-ago / kForgive);
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
         if (host.full_until > now) cost *= 4;
@@ -408,7 +379,7 @@
             if (favourite >= 0) consider(favourite);
             for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit()));
         }
-        if (best < 0)
+        if (best < 0 || hosts[best].refusals > 0)
             for (const int i : pool.hosts) consider(i);
         if (price_of) *price_of = best >= 0 ? least : least_last;
         return best >= 0 ? best : last;
@@ -442,7 +413,7 @@
         const bool trial = on_trial(host.entry.build);
         const Method &method = method_of(rpc);
         const bool aged = host.entry.started <= 0 || now - host.entry.started > kColdSkip;
-        budget -= !rpc.picks.empty();
+        budget -= !rpc.picks.empty() && rpc.picks.back().outcome != Outcome::no_route;
         rpc.picks.push_back({target, host.entry.build, now, trial, copy, aged});
         if (host.open++ == 0) host.quiet_since = now;
         ++open;
@@ -573,9 +544,11 @@
 
     // What the platform counted for all routers. Stops a build that no router alone has pairs enough to find;
     // late by seconds, and blind to which hosts failed.
-    Evidence gather_told() const {
+    Evidence gather_told() {
         Evidence told = compare_tallies(kBackPairs);
         if (told.timed < kBackPairs) told.slow = 0;
+        // Tallies count picks that no host took as failures; own picks tell how many those are.
+        told.usual += of(known.build).tried.share();
         const double chance = kSlowChance / std::sqrt(std::max(1.0, told.timed));
         told.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / hosts_there())) + chance;
         return told;
@@ -710,6 +683,7 @@
 
     Decision next() override {
         weigh_hosts();
+        budget = std::min(kBudgetMost, budget + kBudgetShare * std::exchange(earned, 0));
         for (; !todo.empty(); todo.pop_front()) {
             const auto found = rpcs.find(todo.front());
             if (found == rpcs.end()) continue;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -61,6 +61,8 @@
     double fails = 0;
     Ticks fails_at = 0;
     int streak = 0;
+    int refusals = 0; // connections in a row that it did not take
+    Ticks refused_at = 0;
     Ticks rest_until = 0;
     Ticks rest = 0; // its next one; 0: the first
     Ticks quiet_since = 0;
@@ -117,6 +119,7 @@
     std::set<std::string> keys{};            // keys it has answered, where they must stay
     double answers = 0;
     double flags = 0;
+    Count tried{}; // own picks of it, failed: not taken by their hosts
 };
 
 struct Evidence {
@@ -139,7 +142,8 @@
     bool limited = false;
 };
 
-struct Instance {
+// One instance, with the inputs that decide nothing.
+struct Instance : Router {
     Instance(Terms given, std::uint64_t seed) : terms(std::move(given)) {
         rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
         usual.assign(terms.methods.size(), 0);
@@ -171,7 +175,8 @@
     std::vector<double> tokens;           // by tenant: RPCs left within its quota
     Ticks tokens_at = 0;
     double budget = 0;
-    int open = 0; // picks
+    int earned = 0; // RPCs since it was last filled
+    int open = 0;   // picks
     double late = 0;
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0;  // picks a second at warm hosts, for each unit of rating
@@ -218,7 +223,7 @@
         rpc.queued = true;
     }
 
-    void take_list(const std::vector<HostEntry> &entries, bool whole) {
+    void list(const std::vector<HostEntry> &entries, bool whole) override {
         for (Host &host : hosts) host.listed = host.listed && !whole;
         for (const HostEntry &entry : entries) {
             const auto [at, fresh] = host_at.try_emplace(entry.id, static_cast<int>(hosts.size()));
@@ -237,6 +242,41 @@
         pools_due = true;
     }
 
+    void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
+
+    void arrived(Arrival from) override {
+        taken.at(from.method).push_back(now);
+        arrivals += !from.retry;
+        ++earned;
+        Rpc rpc{std::move(from), 0};
+        rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
+        rpc.over_share = !within_quota(rpc.from.tenant);
+        due.emplace(rpc.from.deadline, rpc.from.id);
+        const std::string id = rpc.from.id;
+        enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
+    }
+
+    void news(const News &told) override {
+        if (told.answers_vote) vote_counts = told.valid;
+        if (!told.valid) return;
+        const bool other = !has_news || told.build != known.build;
+        if (other || told.stage != known.stage || told.phase != known.phase) {
+            if (trial_runs() && told.phase == Phase::released && !other) released_at = now;
+            if (other || (told.phase != known.phase && told.phase != Phase::released)) {
+                calm = lately;
+                yielding = 0;
+                suspect_since = slow_since = -1;
+            }
+            stage_at = now - told.age;
+            voted = Verdict::none;
+            log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage, int(told.phase));
+            if (told.phase != Phase::on_trial) of(told.build).range.clear();
+        }
+        known = told;
+        has_news = true;
+        pools_due = true;
+    }
+
     void note_report(Host &host, const std::vector<double> &report) {
         for (std::size_t i = 0; i < report.size() && i < terms.report_fields.size(); ++i) {
             const bool waiting = terms.report_fields[i] == "backlog";
@@ -246,7 +286,7 @@
         }
     }
 
-    void take_flag(const std::string &id, Ticks age) {
+    void flagged(const std::string &id, Ticks age) override {
         const auto at = host_at.find(id);
         if (at == host_at.end()) return;
         const HostEntry &entry = hosts[at->second].entry;
@@ -399,7 +439,7 @@
     }
 
     // A pick that streams is the client's now: it is left alone.
-    void mark_done(const std::string &id, int streams) {
+    void finished(const std::string &id, int streams) override {
         const auto found = rpcs.find(id);
         if (found == rpcs.end()) return;
         std::vector<Pick> &picks = found->second.picks;
