Cold push by what warm hosts serve; picks before the news count; parts under one by chance

Cause: on the small twin of an incident a host back from a crash was sent 5.2 times what it could do: the push allowed was set by picks sent to warm hosts, refusals and repeats included, picks between its start and the news of it were not counted, and each router had a least allowance of its own. Now the allowance follows what warm hosts serve, picks since the start count, the least allowance is shared, and a part under one pick is drawn. May hold back hosts that warm quickly.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -90,7 +90,7 @@
 constexpr double kOverShare = 0.5;                  // share of the limit open to a tenant past its quota
 constexpr double kColdSafety = 0.8;                 // of the push that a cold host stands
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
-constexpr int kColdFloor = 2;       // picks a window that are always allowed
+constexpr double kColdFloor = 2;    // picks a window that all routers together may always send
 constexpr Ticks kBeat = 1000;       // how often standing matters are looked at
 constexpr Ticks kAskAgain = 8000;   // wait after a failed call for the list; doubles up to four times that
 
@@ -140,7 +140,7 @@
         beat_at = now + kBeat;
         pools_due = true;
         count_traffic(kTrafficRate);
-        forget(warm_picks, now - 10000);
+        forget(warm_served, now - 10000);
         forget_evidence(now - kEvidenceAge);
         double warm = 0;
         std::vector<double> excess, all;
@@ -150,7 +150,7 @@
             all.push_back(host.excess);
             if (!on_trial(host.entry.build)) excess.push_back(host.excess);
         }
-        if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_picks.size() / warm - pace) * 0.05);
+        if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
         lately.limited = limit > 0;
         lately.sound = sound[0] + sound[1];
         if (!excess.empty()) lately.fleet = median(excess);
@@ -210,6 +210,7 @@
         if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = double(pick.took) / method_of(rpc).soft_deadline;
         if (timed) late += (std::min(ratio, 1.5) - late) * 0.02;
+        if (served && warmth(host) >= 1) warm_served.push_back(now);
         of(pick.build).proven[method] += served;
         of(pick.build).tried.add(1, proves_unrun(pick.outcome));
         if (pick.on_trial) {
@@ -313,14 +314,17 @@
         return sent + 1 <= terms.rollout.free_picks + cap(number) * took;
     }
 
-    // Rule 4: a cold host gets no more than this router's part of the push it stands.
+    // Rule 4: a cold host gets no more than this router's part of the push it stands, which is set against
+    // what warm hosts of its size serve. Picks since its start count, told of it or not. Where the part of
+    // each of many routers is under one pick, chance says which of them may send.
     bool room_in_cold(Host &host) const {
         const double warm = warmth(host);
         if (warm >= 1) return true;
-        forget(host.pushed, now - terms.overload_for);
+        forget(host.pushed, std::max(now - terms.overload_for, host.entry.started));
         const double part = pace * rating(host) * terms.overload_for / 10000.0;
         const double allowed = kColdSafety * terms.overload_multiple * warm * part;
-        return host.pushed.size() + 1 <= std::max<double>(kColdFloor, allowed);
+        const auto sent = static_cast<double>(host.pushed.size());
+        return sent + 1 <= std::max(kColdFloor / terms.instances, allowed) + host.dice;
     }
 
     // Rule 5: a key that a newer build has answered goes to no lower one while that build is not going back.
@@ -428,7 +432,8 @@
         rpc.picks.push_back({target, host.entry.build, now, trial, copy, aged});
         if (host.open++ == 0) host.quiet_since = now;
         ++open;
-        (warmth(host) < 1 ? host.pushed : warm_picks).push_back(now);
+        host.pushed.push_back(now);
+        forget(host.pushed, now - terms.overload_for);
         if (trial) of(host.entry.build).picked[rpc.from.method].push_back(now);
         rpc.look_at = now + look_wait(rpc.from.method);
         if (method.repeat != Repeat::non_idempotent) due.emplace(rpc.look_at, rpc.from.id);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -71,7 +71,8 @@
     double weight = 0;          // what it can do beside the others
     double others = 0;          // RPCs of other routers there, as reported
     Ticks others_at = -1;       // never: below 0
-    std::deque<Ticks> pushed{}; // picks while cold
+    std::deque<Ticks> pushed{}; // picks of late, also those to the process before
+    double dice = 0; // which of a fleet of routers may send where the part of each is under one pick
 };
 
 // The hosts that may be picked of one side, and where keys fall among them.
@@ -181,7 +182,7 @@
     double late = 0;
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0;  // picks a second at warm hosts, for each unit of rating
-    std::deque<Ticks> warm_picks;
+    std::deque<Ticks> warm_served;
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
@@ -230,11 +231,13 @@
             const auto [at, fresh] = host_at.try_emplace(entry.id, static_cast<int>(hosts.size()));
             if (fresh) hosts.push_back(Host{entry});
             Host &host = hosts[at->second];
-            if (entry.started != host.entry.started || entry.build != host.entry.build) {
-                const int held = host.open;
-                host = Host{entry};
-                host.open = held;
-                host.quiet_since = now;
+            if (fresh || entry.started != host.entry.started || entry.build != host.entry.build) {
+                Host next{entry};
+                next.open = host.open;
+                next.pushed = std::move(host.pushed);
+                next.dice = rng.unit();
+                next.quiet_since = now;
+                host = std::move(next);
             }
             host.entry = entry;
             host.listed = entry.standing != Standing::gone;
