Latency compared by method; a jam must make every method and tenant late

Now lateness is kept by method and by tenant and the least late speaks; a trial's latency is set against the earlier hosts' of the same method. Covers one tenant that waits. May leave a jam a little longer.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,7 @@
 constexpr Ticks kVoteRetry = 3000;    // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;    // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
-constexpr std::size_t kBesides = 50;    // latencies of the earlier build at the same time, to compare with
+constexpr std::size_t kBesides = 20;    // latencies of the earlier build, of a method, to compare with
 constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
 constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still: machines differ
 constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
@@ -82,8 +82,10 @@
 constexpr double kBudgetMost = 30;     // saved up at most
 constexpr double kLookLatency = 3.0;   // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
-constexpr double kLateHigh = 0.65;                  // mean latency over soft deadline: above, fewer open RPCs
-constexpr double kLateLow = 0.45;                   // below, more
+constexpr Ticks kLateSpan = 5000;                   // over which answers tell how late they come
+constexpr double kLateMost = 1.5;                   // a soft deadline missed by more says no more
+constexpr double kLateHigh = 0.55;                  // mean latency over soft deadline: above, fewer open RPCs
+constexpr double kLateLow = 0.4;                    // below, more
 constexpr double kCutLimit = 0.92;                  // a step down of the limit
 constexpr double kRaiseLimit = 1.04;                // a step up
 constexpr double kLeastWorth = 0.8;                 // share of the limit open to the least useful method
@@ -164,7 +166,12 @@
 
     // The limit on open picks follows how late answers come. Stops a jam in which every answer is too late,
     // whatever its cause: bursts, lost hosts, retries, slow builds. May shed too much when one host is slow.
+    // A jam makes every method and every tenant late: what is late alone waits for a cause of its own.
     void bend_limit() {
+        std::vector<double> figures;
+        for (const auto &[mean, seen] : lateness)
+            if (seen > now - kLateSpan * 4) figures.push_back(mean);
+        const double late = figures.empty() ? 0 : *std::min_element(figures.begin(), figures.end());
         if (late > kLateHigh) {
             if (limit <= 0) log("limit on: open %.0f lateness %.2f of %.2f", open, late, kLateHigh);
             limit = std::max(4.0, (limit > 0 ? std::min<double>(limit, open) : open) * kCutLimit);
@@ -208,8 +215,9 @@
         const bool timed = served || (failed && pick.outcome == Outcome::too_slow);
         const double excess = excess_of(pick, method);
         if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
-        const double ratio = double(pick.took) / method_of(rpc).soft_deadline;
-        if (timed) late += (std::min(ratio, 1.5) - late) * 0.02;
+        const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
+        if (timed) note_lateness(method, ratio, kLateSpan, kHostRate);
+        if (timed) note_lateness(terms.methods.size() + rpc.from.tenant, ratio, kLateSpan, kHostRate);
         if (served && warmth(host) >= 1) warm_served.push_back(now);
         of(pick.build).proven[method] += served;
         of(pick.build).tried.add(1, proves_unrun(pick.outcome));
@@ -546,14 +554,15 @@
 
     // --- votes ---
     Evidence gather(const Build &build) const {
-        Evidence seen = collect(build, now - kEvidenceAge, now - kEvidenceAge / 2, kSlowSample);
+        Evidence seen =
+            collect(build, now - kEvidenceAge, now - kEvidenceAge / 2, kBesides, kSlowSample, calm.fleet);
         seen.usual = earlier_fails;
-        if (seen.medians.empty() || seen.beside.size() < kBesides || trial_part() > kMinority) return seen;
+        if (seen.medians.empty() || trial_part() > kMinority) return seen;
         // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
         // Beside a trial that took their traffic the earlier hosts run lighter: the higher figure counts.
         const double bar = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
-        seen.slow = seen.medians[(seen.medians.size() - 1) / 2] - std::max(median(seen.beside), calm.fleet);
+        seen.slow = seen.medians[(seen.medians.size() - 1) / 2];
         seen.slow_bar = std::log(bar * (1 + kFewHosts / static_cast<double>(seen.medians.size())));
         return seen;
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -128,10 +128,10 @@
     Count all, stage, before; // before: the earlier build's
     std::vector<Count> by_method;
     std::map<int, Count> by_host;
-    std::vector<double> medians, beside; // log excess latency: the hosts' medians, the earlier hosts' picks
-    double timed = 0;                    // picks that the latency stands on
-    double usual = 0;                    // the earlier build's failure share
-    double slow = 0;                     // log of its latency over the earlier build's
+    std::vector<double> medians; // of hosts: log latency over the earlier hosts'
+    double timed = 0;            // picks that the latency stands on
+    double usual = 0;            // the earlier build's failure share
+    double slow = 0;             // log of its latency over the earlier build's
     double slow_bar = 0;
 };
 
@@ -151,6 +151,7 @@
         usual.assign(terms.methods.size(), 0);
         usual_count.assign(terms.methods.size(), 0);
         taken.resize(terms.methods.size());
+        lateness.resize(terms.methods.size() + terms.tenant_quotas.size());
         for (double quota : terms.tenant_quotas) tokens.push_back(quota / terms.instances);
     }
 
@@ -177,11 +178,11 @@
     std::vector<double> tokens;           // by tenant: RPCs left within its quota
     Ticks tokens_at = 0;
     double budget = 0;
-    int earned = 0; // RPCs since it was last filled
-    int open = 0;   // picks
-    double late = 0;
-    double limit = 0; // of open picks; 0: none needed so far
-    double pace = 0;  // picks a second at warm hosts, for each unit of rating
+    int earned = 0;                                 // RPCs since it was last filled
+    int open = 0;                                   // picks
+    std::vector<std::pair<double, Ticks>> lateness; // by method, then by tenant: mean lateness, and when seen
+    double limit = 0;                               // of open picks; 0: none needed so far
+    double pace = 0;                                // picks a second at warm hosts, for each unit of rating
     std::deque<Ticks> warm_served;
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
@@ -354,10 +355,18 @@
                            [&](const Pick &p) { return p.host == target; });
     }
 
-    // Own picks of the trial's build; the medians of those hosts that have so many timed ones of late.
-    Evidence collect(const Build &build, Ticks since, Ticks of_late, std::size_t least) const {
+    // Own picks of the trial's build; latency set against the earlier hosts' by method, at least `calm`. Of
+    // methods with so many picks there, and hosts with so many here, the hosts' medians.
+    Evidence collect(const Build &build, Ticks since, Ticks of_late, std::size_t besides, std::size_t least,
+                     double calm_excess) const {
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
+        std::vector<std::vector<double>> beside(terms.methods.size());
+        for (const Sample &sample : earlier)
+            if (sample.timed && sample.at > of_late) beside[sample.method].push_back(sample.excess);
+        std::vector<double> baseline;
+        for (std::vector<double> &values : beside)
+            baseline.push_back(values.size() < besides ? 0 : std::max(median(values), calm_excess));
         std::map<int, std::vector<double>> excess;
         for (const Sample &sample : build.samples) {
             if (sample.at < since) continue;
@@ -365,13 +374,12 @@
             seen.by_method[sample.method].add(1, sample.failed);
             seen.by_host[sample.host].add(1, sample.failed);
             if (sample.at >= stage_at) seen.stage.add(1, sample.failed);
-            if (sample.timed && sample.at > of_late) excess[sample.host].push_back(sample.excess);
+            if (sample.timed && sample.at > of_late && beside[sample.method].size() >= besides)
+                excess[sample.host].push_back(sample.excess - baseline[sample.method]);
         }
         for (auto &[host, values] : excess)
             if (values.size() >= least) seen.medians.push_back(median(values));
         std::sort(seen.medians.begin(), seen.medians.end());
-        for (const Sample &sample : earlier)
-            if (sample.timed && sample.at > of_late) seen.beside.push_back(sample.excess);
         return seen;
     }
 
@@ -405,6 +413,13 @@
 
     double cap(int build) const { return build == known.build ? known.cap : terms.rollout.caps.front(); }
 
+    void note_lateness(std::size_t at, double ratio, double span, double most) {
+        if (at >= lateness.size()) return;
+        auto &[mean, seen] = lateness[at];
+        mean += (ratio - mean) * std::min(most, 1 - std::exp(static_cast<double>(seen - now) / span));
+        seen = now;
+    }
+
     static void forget(std::deque<Ticks> &times, Ticks before) {
         while (!times.empty() && times.front() < before) times.pop_front();
     }
