--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,6 +46,8 @@
 constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
 constexpr double kLoadRise = 1.5;     // powers of the traffic's growth that explain a rise
 constexpr Ticks kWatch = 100000;      // after a release too
+constexpr Ticks kTellWait = 10000;    // between words to peers, and so much more for each of them
+constexpr Ticks kTellEach = 300;
 constexpr double kSharedSound = 0.85; // nor fewer sound hosts
 
 constexpr Ticks kSharedFor = 12000; // and that lasts
@@ -567,18 +569,29 @@
         return seen;
     }
 
-    // What the platform counted for all routers. Stops a build that no router alone has pairs enough to find;
-    // late by seconds, and blind to which hosts failed.
+    // What all routers saw: the platform's tallies, or else what peers told. Stops a build that no router
+    // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
-        Evidence told = compare_tallies(kBackPairs);
-        if (told.timed < kBackPairs) told.slow = 0;
+        Evidence told = compare_all(now - 5 * tell_wait() / 2, own_word(now - kEvidenceAge), kBackPairs);
+        if (told.timed < kBackPairs || limit > 0) told.slow = 0;
         // Tallies count picks that no host took as failures; own picks tell how many those are.
-        told.usual += of(known.build).tried.share();
+        if (!tallies.empty()) told.usual += of(known.build).tried.share();
         const double chance = kSlowChance / std::sqrt(std::max(1.0, told.timed));
         told.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / hosts_there())) + chance;
         return told;
     }
 
+    // Every peer hears every word: the more there are the fewer words each can afford.
+    Ticks tell_wait() const { return kTellWait + kTellEach * terms.instances; }
+
+    Decision tell() {
+        if (!terms.peers || terms.instances < 2 || now < tell_at || !(trial_runs() || fresh())) return {};
+        tell_at = now + tell_wait();
+        return {.act = Act::tell, .text = own_word(now - kEvidenceAge).pack()};
+    }
+
+    bool fresh() const { return watching() && released_at >= 0 && now - released_at < kWatch; }
+
     double hosts_there() const { return std::max<std::size_t>(1, pools[trial_runs()].hosts.size()); }
 
     // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
@@ -599,16 +612,15 @@
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
-    double flag_odds(int number) const {
-        const auto at = builds.find(number);
-        if (terms.rollout.flag_share <= 0 || at == builds.end()) return 0;
+    double flag_odds(const Evidence &told) const {
+        if (terms.rollout.flag_share <= 0) return 0;
         double flags = 1, answers = kFlagPrior;
-        for (auto other = builds.begin(); other != at; ++other)
-            flags += other->second.flags, answers += other->second.answers;
+        for (const auto &[number, build] : builds)
+            if (number < known.build) flags += build.flags, answers += build.answers;
         const double usual_rate = flags / answers;
         const double bad_rate = usual_rate + terms.rollout.flag_share * kWrongShare;
-        const double gain = std::log(bad_rate / usual_rate);
-        return at->second.flags * gain - at->second.answers * (bad_rate - usual_rate);
+        return told.answers.failed * std::log(bad_rate / usual_rate) -
+               told.answers.picks * (bad_rate - usual_rate);
     }
 
     // The share that speaks against a build falls as the sample grows. Stops a build that fails a tenth of
@@ -628,23 +640,24 @@
     }
 
     // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
-    // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where own
-    // arrivals tell the fleet's traffic; may blame it for a trouble of every host.
-    bool slows_all() {
-        const bool telling = terms.instances <= kFewRouters && tallies.empty() && !calm.limited;
-        const bool fresh = watching() && released_at >= 0 && now - released_at < kWatch;
-        const double more = std::max(0.0, std::log(lately.traffic / std::max(1e-9, calm.traffic)));
-        const bool risen = lately.better - calm.better > std::log(kSharedRise) + kLoadRise * more;
-        const bool at_issue = fresh || (trial_runs() && known.stage > 0);
-        return lasts(at_issue && telling && risen && lately.sound > calm.sound * kSharedSound, suspect_since,
-                     kSharedFor);
+    // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where the
+    // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
+    bool slows_all(const Evidence &told) {
+        const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
+        const double more = std::max(0.0, std::log(told.traffic / std::max(1e-9, told.calm)));
+        const bool risen =
+            told.rise / std::max(1.0, told.witnesses) > std::log(kSharedRise) + kLoadRise * more;
+        const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
+        const bool alike = lately.sound > calm.sound * kSharedSound && tallies.empty() && !calm.limited;
+        return lasts(at_issue && telling && risen && alike, suspect_since, kSharedFor);
     }
 
     Verdict judgement() {
         const Evidence seen = gather(of(known.build)), told = gather_told();
-        const double odds = flag_odds(known.build);
+        const double odds = flag_odds(told);
         if (odds > kFlagProof) return back("flags", seen, odds);
-        const bool enough = trial_runs() && told.before.picks >= kBackPairs;
+        const bool pooled = !tallies.empty() || told.routers * 2 > terms.instances;
+        const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
         const bool failing = fails_much(seen) || (enough && fails_much(told));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
         const bool lone = trial_runs() && pools[1].hosts.size() == 1;
@@ -652,7 +665,7 @@
         if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
         if (failing && !lone && !host_explains(seen))
             return back("failures", fails_much(seen) ? seen : told, seen.usual);
-        if (slows_all()) return back("slowing all", seen, std::exp(lately.better - calm.better));
+        if (slows_all(told)) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
         const bool told_slow = enough && told.slow > told.slow_bar;
@@ -672,8 +685,8 @@
         // doubt: the fewer of them must agree, the more these must hold.
         const double alone = 1 - std::min(1.0, double(terms.rollout.on_votes) / terms.instances);
         const double needed = alone * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
-        const bool unproven = told.all.picks < needed && !waited;
-        if (enough && (unproven || told.slow > told.slow_bar / 2)) return Verdict::none;
+        const bool doubt = enough && told.slow > told.slow_bar / 2;
+        if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
@@ -718,6 +731,7 @@
             if (rpc.done && open_picks(rpc) == 0) rpcs.erase(found);
         }
         if (Decision made = vote(); made.act != Act::none) return made;
+        if (Decision made = tell(); made.act != Act::none) return made;
         if (terms.list_by_asking && ask_at >= 0 && ask_at <= now) {
             ask_at = -1;
             return {.act = Act::watch_list};
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -48,6 +48,7 @@
     bool list_by_asking;
     bool may_cut;
     bool second_copies;
+    bool peers; // may tell each other
     bool advise_pause;
     bool utility_by_work;
     int max_picks;
@@ -101,7 +102,7 @@
     double latency; // seconds
 };
 
-enum class Act { none, pick, cut, push_back, abort, vote, watch_list, wake, log };
+enum class Act { none, pick, cut, push_back, abort, vote, tell, watch_list, wake, log };
 enum class Verdict { none, on, hold, back };
 
 // One decision; `act` tells which fields hold.
@@ -114,7 +115,7 @@
     int build = 0;
     int stage = 0;
     Verdict verdict = Verdict::none;
-    std::string text{}; // log line
+    std::string text{}; // log line; tell: the bytes, for every peer
 };
 
 class Router {
@@ -133,6 +134,7 @@
     virtual void flagged(const std::string &host, Ticks age) = 0;
     virtual void news(const News &told) = 0;
     virtual void tally(const Tally &row) = 0;
+    virtual void heard(int peer, const std::string &bytes) = 0;
 
     // The next decision, until one of act none.
     virtual Decision next() = 0;
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -205,6 +205,7 @@
     terms.instances = std::max(1, whole(profile, "instances"));
     terms.list_by_asking = word<bool>(profile, "membershipMode", {{"push", false}, {"ask", true}});
     terms.may_cut = flag(allowed, "cancel");
+    terms.peers = flag(allowed, "peers");
     terms.second_copies = flag(allowed, "secondCopies");
     terms.advise_pause = flag(allowed, "retryAfter");
     terms.max_picks = whole(allowed, "maxAttempts");
@@ -271,8 +272,8 @@
                              has(event, "latency") ? number(event, "latency") : 0});
     if (cmd == "FLAGGED") return router.flagged(text(event, "host"), ticks(event, "old"));
     if (cmd == "FLOWING") return router.finished(text(event, "tid"), whole(event, "leg"));
-    if (cmd == "PONG") return static_cast<void>(text(event, "host"));     // the module asks for no probes
-    if (cmd == "WHISPER") return static_cast<void>(bytes(event, "blob")); // and sends no messages
+    if (cmd == "WHISPER") return router.heard(whole(event, "author"), bytes(event, "blob"));
+    if (cmd == "PONG") return static_cast<void>(text(event, "host")); // the module asks for no probes
     wrong("cmd", ("unknown event " + cmd).c_str());
 }
 
--- a/src/simhost/writer.cpp
+++ b/src/simhost/writer.cpp
@@ -6,6 +6,15 @@
 
 double seconds(Ticks ticks) { return static_cast<double>(ticks) / 10000.0; }
 
+std::string hex(const std::string &bytes) {
+    std::string written;
+    for (const unsigned char byte : bytes) {
+        written += "0123456789abcdef"[byte >> 4];
+        written += "0123456789abcdef"[byte & 15];
+    }
+    return written;
+}
+
 } // namespace
 
 nlohmann::json action(const std::string &who, const Decision &d) {
@@ -25,6 +34,7 @@
                 {"image", d.build},
                 {"stage", d.stage},
                 {"reason", static_cast<int>(d.verdict)}};
+    case Act::tell: return {{"cmd", "PUBLISH"}, {"who", who}, {"addressee", -1}, {"blob", hex(d.text)}};
     case Act::watch_list: return {{"cmd", "LISTEN"}, {"who", who}, {"want", true}};
     case Act::wake:
         return {{"cmd", "TIMER"}, {"who", who}, {"instant", seconds(d.span)}, {"keyBack", "wake"}};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -5,6 +5,7 @@
 
 #include "chance.hpp"
 #include "logic.hpp"
+#include "word.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -102,17 +103,6 @@
     double excess;
 };
 
-struct Count {
-    double picks = 0;
-    double failed = 0;
-    double pace = 0; // log latencies of those that did not fail
-    double share() const { return picks > 0 ? failed / picks : 0; }
-    double served() const { return picks - failed; }
-    void add(double more, double bad, double mean_pace = 0) {
-        picks += more, failed += bad, pace += (more - bad) * mean_pace;
-    }
-};
-
 struct Build {
     std::deque<Sample> samples{};
     std::vector<double> range{};             // by method: share of keys that it has
@@ -133,6 +123,11 @@
     double usual = 0;            // the earlier build's failure share
     double slow = 0;             // log of its latency over the earlier build's
     double slow_bar = 0;
+    Count answers;                // of all routers heard; failed: found wrong
+    double routers = 0;           // heard, this one too
+    double witnesses = 0;         // of them, those that saw the trial begin
+    double traffic = 0, calm = 0; // theirs together, now and when the trial began
+    double rise = 0;              // of their log latencies, summed
 };
 
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
@@ -171,6 +166,8 @@
     std::map<int, Build> builds;
     std::deque<Sample> earlier; // the earlier build's picks of late
     std::deque<std::pair<Ticks, Tally>> tallies;
+    std::map<int, Word> words; // by peer, the last one
+    Ticks tell_at = 0;
     std::vector<double> usual; // by method: log latency at the earlier build, still while one is on trial
     std::vector<int> usual_count;
     std::map<int, double> kind_excess;
@@ -247,6 +244,13 @@
         pools_due = true;
     }
 
+    void heard(int peer, const std::string &bytes) override {
+        std::optional<Word> word = Word::unpack(bytes, terms.methods.size());
+        if (!word) return;
+        word->at = now;
+        words[peer] = std::move(*word);
+    }
+
     void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
 
     void arrived(Arrival from) override {
@@ -383,23 +387,60 @@
         return seen;
     }
 
-    // What was tallied of the trial's build beside those before it; latency by method, from so many picks on.
-    Evidence compare_tallies(double least) const {
+    // Own picks of late, as peers are told of them.
+    Word own_word(Ticks since) {
+        Word word;
+        word.build = known.build;
+        word.traffic = lately.traffic;
+        word.calm = calm.traffic;
+        word.rise = lately.better - calm.better;
+        word.trial.resize(terms.methods.size());
+        word.before.resize(terms.methods.size());
+        const auto add = [&](std::vector<Count> &to, const Sample &sample) {
+            if (sample.at < since) return;
+            to[sample.method].add(1, sample.failed);
+            if (sample.timed) to[sample.method].time(1, sample.excess);
+        };
+        const Build &build = of(known.build);
+        for (const Sample &sample : build.samples) add(word.trial, sample);
+        for (const Sample &sample : earlier) add(word.before, sample);
+        word.answers.add(build.answers, build.flags);
+        return word;
+    }
+
+    // What all routers saw of the trial's build beside those before it, as tallied or else as peers told
+    // since then; latency by method, from so many picks on.
+    Evidence compare_all(Ticks told_since, const Word &own, double least) const {
         Evidence told;
         std::vector<Count> before(terms.methods.size());
         told.by_method.resize(terms.methods.size());
-        for (const auto &[at, row] : tallies)
-            if (row.build <= known.build)
-                (row.build == known.build ? told.by_method : before)
-                    .at(row.method)
-                    .add(row.picks, row.failed, std::log(std::max(1e-4, row.latency)));
+        const auto add = [&](const Word &word) {
+            for (std::size_t i = 0; i < before.size(); ++i)
+                told.by_method[i].add(word.trial[i]), before[i].add(word.before[i]);
+            told.answers.add(word.answers);
+            ++told.routers;
+            if (word.calm <= 0) return; // started since: it knows no calm
+            told.traffic += word.traffic, told.calm += word.calm;
+            told.rise += word.rise, ++told.witnesses;
+        };
+        add(own);
+        for (const auto &[peer, word] : words)
+            if (word.build == known.build && word.at >= told_since) add(word);
+        if (!tallies.empty()) told.by_method.assign(before.size(), {}), before.assign(before.size(), {});
+        for (const auto &[at, row] : tallies) {
+            if (row.build > known.build) continue;
+            Count &count = (row.build == known.build ? told.by_method : before).at(row.method);
+            count.add(row.picks, row.failed);
+            count.time(row.picks - row.failed, std::log(std::max(1e-4, row.latency)));
+        }
         for (std::size_t i = 0; i < before.size(); ++i) {
             const Count &one = told.by_method[i], &other = before[i];
             told.all.add(one.picks, one.failed);
             told.before.add(other.picks, other.failed);
-            if (one.served() <= 0 || other.served() < least) continue;
-            told.slow += one.pace - one.served() * other.pace / other.served();
-            told.timed += one.served();
+            if (other.timed < least) continue;
+            const double before_pace = other.mean_pace();
+            told.slow += one.pace - one.timed * (tallies.empty() ? std::max(0.0, before_pace) : before_pace);
+            told.timed += one.timed;
         }
         told.usual = told.before.share();
         told.slow /= std::max(1.0, told.timed);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -20,6 +20,7 @@
     given.methods = {{repeat, Group::all, 4000, 10000, 1, false}};
     given.rollout.advance = Advance::any_vote;
     given.rollout.free_picks = 2;
+    given.rollout.on_votes = 1;
     given.rollout.window = 30000;
     given.rollout.vote_life = 60000;
     given.rollout.flag_share = 0.15;
