Rests folded into one cost for picks missed in a row

Rests, refusals and streaks were three answers to one symptom; now each pick in a row that a host failed or took no connection for raises its cost, fading.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -66,12 +66,8 @@
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
 
-constexpr int kRestStreak = 4; // failures in a row that rest a host
-constexpr Ticks kRest = 10000; // first rest; doubles up to eight times that
-
-constexpr double kRestShare = 0.4;     // at most this share of the hosts rests: the others must carry it
 constexpr double kForgive = 30000.0;   // a failure share halves in this time without picks
-constexpr double kRefused = 3;         // cost of a host for each connection in a row that it did not take
+constexpr double kMissed = 3;          // cost of a host for each pick in a row that it missed
 constexpr double kSilence = 4.0;       // times the usual latency without any answer: silent
 constexpr double kUnwell = 2.5;        // latency over the fleet's that lets an RPC look elsewhere
 constexpr Ticks kReportAge = 15000;    // older load reports are not used
@@ -107,12 +103,11 @@
     double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     void weigh_hosts() {
         if (!pools_due) return;
-        sound[0] = sound[1] = resting = 0;
+        sound[0] = sound[1] = 0;
         for (Host &host : hosts) {
             const auto kind = kind_excess.find(host.entry.kind);
             host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
-            resting += usable(host) && host.rest_until > now;
             if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
         }
         fill_pools(now - kReportAge, kRingPoints, kHostRate);
@@ -122,7 +117,11 @@
         return host.fails * std::exp2(-static_cast<double>(now - host.fails_at) / kForgive);
     }
 
-    bool well(const Host &host) const { return host.rest_until <= now && fails(host) < kBackShare; }
+    double missing(const Host &host) const {
+        return kMissed * host.misses * std::exp2(-static_cast<double>(now - host.missed_at) / kForgive);
+    }
+
+    bool well(const Host &host) const { return fails(host) < kBackShare && missing(host) < kMissed; }
 
     // Has this held for so long? A figure that tops its bar for a moment, as queues jump, is no verdict.
     bool lasts(bool held, Ticks &since, Ticks span) const {
@@ -203,16 +202,13 @@
         const bool served = pick.outcome == Outcome::ok, diverged = speaks_against(rpc, pick);
         const bool failed = diverges(pick.outcome) && !hurried(rpc, pick);
         const bool refused = pick.outcome == Outcome::no_route;
-        host.refusals = refused ? host.refusals + 1 : pick.outcome == Outcome::too_slow ? host.refusals : 0;
-        if (refused) host.refused_at = now;
+        if (failed || refused) ++host.misses, host.missed_at = now;
+        if (served) host.misses = 0;
         if (pick.outcome == Outcome::no_room) host.full_until = now + kBeat / 2;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
             host.fails = fails(host) + (failed - fails(host)) * kHostRate;
             host.fails_at = now;
-            host.streak = failed ? host.streak + 1 : 0;
-            if (served) host.rest = 0;
-            rest_if_failing(host);
         }
         const bool timed = served || (failed && pick.outcome == Outcome::too_slow);
         const double excess = excess_of(pick, method);
@@ -237,17 +233,6 @@
             judge(rpc, pick, diverged && pick.outcome != Outcome::too_slow, excess);
     }
 
-    // A host that fails in a row is rested. Stops fast failures from drawing picks, and covers dead and
-    // refusing hosts; never so many at once that the rest would be swamped.
-    void rest_if_failing(Host &host) {
-        if (host.streak < kRestStreak || host.rest_until > now) return;
-        const auto all = static_cast<double>(pools[0].hosts.size() + pools[1].hosts.size());
-        if (resting + 1 > std::max(1.0, all * kRestShare)) return;
-        ++resting;
-        host.rest = std::clamp(host.rest * 2, kRest, kRest * 8);
-        host.rest_until = now + host.rest;
-    }
-
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
         if (failed && !pick.aged && pick.outcome == Outcome::too_slow) return; // a cold host's slowness
         std::deque<Sample> &samples = of(pick.build).samples;
@@ -369,10 +354,10 @@
         double cost = held / host.weight;
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
-        // A host that takes no connection is left for those that do, a little longer each time. Stops dead
-        // hosts and crowded ones from using up an RPC's picks; keeps a router to hosts that know it.
-        const double ago = static_cast<double>(now - host.refused_at);
-        cost *= 1 + kRefused * host.refusals * std::exp2(-ago / kForgive);
+        // A host that missed picks in a row, failing them or taking no connection, is left for others, longer
+        // each time. Stops fast failures from drawing picks, dead and crowded hosts from using up an RPC's,
+        // and keeps a router to hosts that know it; never out of use, so the rest are not swamped.
+        cost *= 1 + missing(host);
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
         if (host.full_until > now) cost *= 4;
@@ -393,7 +378,7 @@
         const auto consider = [&](int i) {
             if (!eligible(rpc, hosts[i], trial)) return;
             const double price = cost(rpc, hosts[i]) * (i == favourite ? kWarmKeyCost : 1);
-            if (used(rpc, i) || hosts[i].rest_until > now) {
+            if (used(rpc, i)) {
                 if (last < 0 || price < least_last) last = i, least_last = price;
             } else if (best < 0 || price < least) {
                 best = i, least = price;
@@ -404,7 +389,7 @@
             if (favourite >= 0) consider(favourite);
             for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit()));
         }
-        if (best < 0 || hosts[best].refusals > 0)
+        if (best < 0 || hosts[best].misses > 0)
             for (const int i : pool.hosts) consider(i);
         if (price_of) *price_of = best >= 0 ? least : least_last;
         return best >= 0 ? best : last;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -62,11 +62,8 @@
     double excess = 0; // log of its latency over the usual
     double fails = 0;
     Ticks fails_at = 0;
-    int streak = 0;
-    int refusals = 0; // connections in a row that it did not take
-    Ticks refused_at = 0;
-    Ticks rest_until = 0;
-    Ticks rest = 0; // its next one; 0: the first
+    int misses = 0; // picks in a row that it failed or took no connection for
+    Ticks missed_at = 0;
     Ticks quiet_since = 0;
     Ticks full_until = 0;
     double weight = 0;          // what it can do beside the others
@@ -158,7 +155,6 @@
     Pool pools[2]; // the earlier builds' and the trial's
     bool pools_due = true;
     double sound[2] = {0, 0};                  // weight of the well ones on either side
-    double resting = 0;                        // how many
     std::unordered_map<std::string, Rpc> rpcs; // looked up, never walked
     std::deque<std::string> todo, lines;
     using Due = std::pair<Ticks, std::string>;
