--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -18,6 +18,10 @@
 constexpr int kMethodPairs = 6;       // least sample for one method: effectful picks are dear to spend
 constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
+constexpr double kBlind = 0.02;       // chance under which trouble did not strike the trial's hosts blindly
+constexpr double kBlindDoubt = 0.1;   // and under which no vote goes on
+constexpr double kAilShare = 0.05;    // failure share of a host that ails
+constexpr double kSlowAil = 2;        // and its latency over the fleet's
 constexpr Ticks kLoneFor = 100000;    // in stage one on one host, whose failures may be its own
 constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
 constexpr double kLeastShare = 0.02;  // that share falls with the sample, to this
@@ -32,6 +36,7 @@
 constexpr Ticks kVoteRenewal = 40000; // votes renew
 constexpr Ticks kVoteRetry = 3000;    // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;    // median latency against the earlier build's
+constexpr double kSlowDoubt = 0.75;   // of that bar (as logs): no vote goes on
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
 constexpr std::size_t kBesides = 20;    // latencies of the earlier build, of a method, to compare with
 constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
@@ -44,6 +49,7 @@
 constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
 constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
 constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
+constexpr double kSharedDoubt = 0.5;  // of that (as logs): no vote goes on
 constexpr double kLoadRise = 1.5;     // powers of the traffic's growth that explain a rise
 constexpr Ticks kWatch = 100000;      // after a release too
 constexpr Ticks kTellWait = 10000;    // between words to peers, and so much more for each of them
@@ -517,8 +523,8 @@
         const auto at =
             std::find_if(rpc.picks.begin(), rpc.picks.end(), [](auto &pick) { return pick.open; });
         const Host &host = hosts[at->host];
-        const bool unwell = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kUnwell);
-        const int target = unwell && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
+        const bool slow = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kUnwell);
+        const int target = slow && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
         if (target < 0 || used(rpc, target) || (!beside && !terms.may_cut)) {
             rpc.look_at = now + look_wait(rpc.from.method) / 2;
             due.emplace(rpc.look_at, rpc.from.id);
@@ -548,12 +554,16 @@
         // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
         // Beside a trial that took their traffic the earlier hosts run lighter: the higher figure counts.
-        const double bar = kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1);
         seen.slow = seen.medians[(seen.medians.size() - 1) / 2];
-        seen.slow_bar = std::log(bar * (1 + kFewHosts / static_cast<double>(seen.medians.size())));
+        seen.slow_bar = slow_bar(static_cast<double>(seen.medians.size()));
         return seen;
     }
 
+    double slow_bar(double hosts_timed) const {
+        return std::log(kSlowRatio * (terms.rollout.warm_keys ? kColdKeys : 1) *
+                        (1 + kFewHosts / hosts_timed));
+    }
+
     // What all routers saw: the platform's tallies, or else what peers told. Stops a build that no router
     // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
@@ -562,7 +572,7 @@
         // Tallies count picks that no host took as failures; own picks tell how many those are.
         if (!tallies.empty()) told.usual += of(known.build).tried.share();
         const double chance = kSlowChance / std::sqrt(std::max(1.0, told.timed));
-        told.slow_bar = std::log(kSlowRatio * (1 + kFewHosts / hosts_there())) + chance;
+        told.slow_bar = slow_bar(hosts_there()) + chance;
         return told;
     }
 
@@ -580,20 +590,34 @@
     double hosts_there() const { return std::max<std::size_t>(1, pools[trial_runs()].hosts.size()); }
 
     // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
-    // silent host under the trial. Not so where the eldest fail together: that build turns bad with age.
+    // silent host under the trial.
     bool host_explains(const Evidence &seen) const {
-        std::vector<std::pair<double, Ticks>> hit; // each host's failures and start
-        for (const auto &[host, count] : seen.by_host)
-            hit.emplace_back(count.failed, hosts[host].entry.started);
+        std::vector<double> hit;
+        for (const auto &[host, count] : seen.by_host) hit.push_back(count.failed);
         if (hit.size() < 2) return false;
         std::sort(hit.rbegin(), hit.rend());
         const auto few = hit.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(1, hit.size() / 3));
-        const auto sum = [](double all, const auto &one) { return all + one.first; };
-        const auto older = [](const auto &a, const auto &b) { return a.second < b.second; };
-        const Ticks last = std::max_element(hit.begin(), few, older)->second;
-        const bool several = hit.size() > 5 && hit[1].first >= 3;
-        const bool eldest = several && last < std::min_element(few, hit.end(), older)->second;
-        return std::accumulate(hit.begin(), few, 0.0, sum) > kConcentrated * seen.all.failed && !eldest;
+        return std::accumulate(hit.begin(), few, 0.0) > kConcentrated * seen.all.failed;
+    }
+
+    bool unwell(const Host &host) const {
+        return fails(host) > kAilShare || missing(host) > 1 ||
+               host.excess - lately.fleet > std::log(kSlowAil);
+    }
+
+    // The chance that trouble which strikes hosts blindly would strike the trial's eldest, all up to the last
+    // unwell one. Stops builds bad with age or load, which routing hides as it turns from their hosts.
+    double blind_chance() const {
+        std::vector<std::pair<Ticks, bool>> trial;
+        double struck = 0, all = 0, chance = 1;
+        for (const Host &host : hosts) {
+            if (!usable(host) || now - host.entry.started < kColdSkip) continue;
+            ++all, struck += unwell(host);
+            if (on_trial(host.entry.build)) trial.emplace_back(host.entry.started, unwell(host));
+        }
+        std::sort(trial.begin(), trial.end());
+        for (auto at = trial.begin(); at != trial.end() && at->second; ++at) chance *= struck-- / all--;
+        return chance;
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
@@ -630,11 +654,17 @@
     bool slows_all(const Evidence &told) {
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
         const double more = std::max(0.0, std::log(told.traffic / std::max(1e-9, told.calm)));
-        const bool risen =
-            told.rise / std::max(1.0, told.witnesses) > std::log(kSharedRise) + kLoadRise * more;
+        const double bar = std::log(kSharedRise) + kLoadRise * more;
+        const double rise = told.rise / std::max(1.0, told.witnesses);
         const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
-        const bool alike = lately.sound > calm.sound * kSharedSound && tallies.empty() && !calm.limited;
-        return lasts(at_issue && telling && risen && alike, suspect_since, kSharedFor);
+        // Sound hosts are missed in the jam itself, too: their number counts only when suspicion begins.
+        const bool alike = suspect_since >= 0 || lately.sound > calm.sound * kSharedSound;
+        const bool open_case = at_issue && telling && alike && tallies.empty() && !calm.limited;
+        if (!open_case || rise <= bar * kSharedDoubt)
+            suspect_since = -1;
+        else if (suspect_since < 0)
+            suspect_since = now;
+        return lasts(open_case && rise > bar, shared_since, kSharedFor);
     }
 
     Verdict judgement() {
@@ -650,6 +680,9 @@
         if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
         if (failing && !lone && !host_explains(seen))
             return back("failures", fails_much(seen) ? seen : told, seen.usual);
+        const double blind = trial_runs() ? blind_chance() : 1;
+        if (lasts(blind < kBlind / std::sqrt(terms.instances), struck_since, kSlowFor))
+            return back("its hosts", seen, blind);
         if (slows_all(told)) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
@@ -670,7 +703,7 @@
         // doubt: the fewer of them must agree, the more these must hold.
         const double alone = 1 - std::min(1.0, double(terms.rollout.on_votes) / terms.instances);
         const double needed = alone * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
-        const bool doubt = enough && told.slow > told.slow_bar / 2;
+        const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt);
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.stage.picks;
         if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -182,7 +182,7 @@
     int arrivals = 0;
     Figures lately, calm; // calm: when the trial began
     double yielding = 0;  // share of the draws for the trial that went elsewhere
-    Ticks slow_since = -1, suspect_since = -1, released_at = -1;
+    Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
     bool has_news = false;
@@ -270,7 +270,7 @@
             if (other || (told.phase != known.phase && told.phase != Phase::released)) {
                 calm = lately;
                 yielding = 0;
-                suspect_since = slow_since = -1;
+                suspect_since = slow_since = struck_since = shared_since = -1;
             }
             stage_at = now - told.age;
             voted = Verdict::none;
