--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -18,25 +18,21 @@
 constexpr int kMethodPairs = 6;       // least sample for one method: effectful picks are dear to spend
 constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
-constexpr double kBlind = 0.02;       // chance under which trouble did not strike the trial's hosts blindly
-constexpr double kBlindDoubt = 0.1;   // and under which no vote goes on
-constexpr double kAilShare = 0.05;    // failure share of a host that ails
-constexpr double kSlowAil = 2;        // and its latency over the fleet's
-constexpr Ticks kLoneFor = 100000;    // in stage one on one host, whose failures may be its own
+constexpr double kBlind = 0.02, kBlindDoubt = 0.1; // chances under which trouble is no blind one, or in doubt
+constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
+constexpr Ticks kLoneFor = 100000;               // in stage one on one host, whose failures may be its own
 constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
-constexpr double kLeastShare = 0.02;  // that share falls with the sample, to this
-constexpr double kHoldShare = 0.10;   // timer: hold above this share
-constexpr int kHoldPairs = 10;        // over so many pairs
-constexpr int kOnPairs = 20;          // pairs in the stage before a vote on
-constexpr int kOnDivergences = 1;     // at most so many of them diverging
-constexpr double kOnShare = 0.01;     // and so much of a large sample: machines fail a little anyway
+constexpr double kLeastShare = 0.02;          // that share falls with the sample, to this
+constexpr double kHoldShare = 0.10;           // timer: hold above this share
+constexpr int kHoldPairs = 10, kOnPairs = 20; // over so many pairs; pairs in the stage before a vote on
+constexpr int kOnDivergences = 1;             // at most so many of them diverging
+constexpr double kOnShare = 0.01;             // and so much of a large sample: machines fail a little anyway
 constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
 constexpr double kSlowChance = 3;     // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000;    // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000; // votes renew
 constexpr Ticks kVoteRetry = 3000;    // a vote that was not counted is sent again
 constexpr double kSlowRatio = 1.5;    // median latency against the earlier build's
-constexpr double kSlowDoubt = 0.75;   // of that bar (as logs): no vote goes on
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
 constexpr std::size_t kBesides = 20;    // latencies of the earlier build, of a method, to compare with
 constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
@@ -48,17 +44,14 @@
 constexpr double kPeakFade = 0.985;   // a beat, of the peak that traffic is remembered by
 constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
 constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
-constexpr double kSharedRise = 1.5;   // rise of every host's latency since the trial began
-constexpr double kSharedDoubt = 0.5;  // of that (as logs): no vote goes on
-constexpr double kLoadRise = 1.5;     // powers of the traffic's growth that explain a rise
-constexpr Ticks kWatch = 100000;      // after a release too
-constexpr Ticks kTellWait = 10000;    // between words to peers, and so much more for each of them
-constexpr Ticks kTellEach = 300;
-constexpr double kSharedSound = 0.85; // nor fewer sound hosts
-
-constexpr Ticks kSharedFor = 12000; // and that lasts
-constexpr int kFewRouters = 3;      // with more, traffic is not spread evenly enough to be known
-constexpr double kFuller = 1.5;     // cost of the trial's best host over the earlier one's: clearly fuller
+constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
+constexpr double kLoadRise = 1.5;                       // powers of the traffic's growth that explain a rise
+constexpr double kFailRise = 15; // and what failing hosts of the earlier build explain, for their share
+constexpr Ticks kWatch = 100000; // after a release too
+constexpr Ticks kTellWait = 10000, kTellEach = 300; // between words to peers, and more for each of them
+
+constexpr int kFewRouters = 3;  // with more, traffic is not spread evenly enough to be known
+constexpr double kFuller = 1.5; // cost of the trial's best host over the earlier one's: clearly fuller
 
 constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
 constexpr double kCopyBeside = 0.2; // copies beside real traffic, over the trial's part of it
@@ -75,26 +68,22 @@
 constexpr double kForgive = 30000.0;   // a failure share halves in this time without picks
 constexpr double kMissed = 3;          // cost of a host for each pick in a row that it missed
 constexpr double kSilence = 4.0;       // times the usual latency without any answer: silent
-constexpr double kUnwell = 2.5;        // latency over the fleet's that lets an RPC look elsewhere
 constexpr Ticks kReportAge = 15000;    // older load reports are not used
 constexpr double kReportTrust = 0.5;   // of what a report shows beyond own picks, as it is late
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
 constexpr int kRingPoints = 4;         // places of a host on the ring of keys, so that their parts are alike
 constexpr double kWarmKeyCost = 0.75;  // a host that has likely met the key is this much cheaper
 constexpr double kOlderCost = 3.0;     // a released build goes before those it replaces
-constexpr double kBudgetShare = 0.12;  // further picks and copies, as a share of the RPCs
-constexpr double kBudgetMost = 30;     // saved up at most
-constexpr double kLookLatency = 3.0;   // usual latencies before an RPC looks elsewhere
-constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
-constexpr Ticks kLateSpan = 5000;                   // over which answers tell how late they come
-constexpr double kLateMost = 1.5;                   // a soft deadline missed by more says no more
-constexpr double kLateHigh = 0.55;                  // mean latency over soft deadline: above, fewer open RPCs
-constexpr double kLateLow = 0.4;                    // below, more
-constexpr double kCutLimit = 0.92;                  // a step down of the limit
-constexpr double kRaiseLimit = 1.04;                // a step up
-constexpr double kLeastWorth = 0.8;                 // share of the limit open to the least useful method
-constexpr double kOverShare = 0.5;                  // share of the limit open to a tenant past its quota
-constexpr double kColdSafety = 0.8;                 // of the push that a cold host stands
+constexpr double kBudgetShare = 0.12, kBudgetMost = 30; // further picks a RPC, and saved up at most
+constexpr double kLookLatency = 3.0;                    // usual latencies before an RPC looks elsewhere
+constexpr double kLookLeast = 0.3, kLookMost = 0.6;     // of the soft deadline
+constexpr Ticks kLateSpan = 5000;                       // over which answers tell how late they come
+constexpr double kLateMost = 1.5;                       // a soft deadline missed by more says no more
+constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
+constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
+constexpr double kLeastWorth = 0.8;                    // share of the limit open to the least useful method
+constexpr double kOverShare = 0.5;                     // share of the limit open to a tenant past its quota
+constexpr double kColdSafety = 0.8;                    // of the push that a cold host stands
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr double kColdFloor = 2;    // picks a window that all routers together may always send
 constexpr Ticks kBeat = 1000;       // how often standing matters are looked at
@@ -151,20 +140,11 @@
         count_traffic(kTrafficRate);
         forget(warm_served, now - 10000);
         forget_evidence(now - kEvidenceAge);
+        measure_fleet(kColdSkip);
         double warm = 0;
-        std::vector<double> excess, all;
-        for (const Host &host : hosts) {
+        for (const Host &host : hosts)
             if (usable(host) && warmth(host) >= 1) warm += rating(host);
-            if (!usable(host) || now - host.entry.started < kColdSkip) continue;
-            all.push_back(host.excess);
-            if (!on_trial(host.entry.build)) excess.push_back(host.excess);
-        }
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
-        lately.limited = limit > 0;
-        lately.sound = sound[0] + sound[1];
-        if (!excess.empty()) lately.fleet = median(excess);
-        std::sort(all.begin(), all.end());
-        if (!all.empty()) lately.better = all[all.size() / 4];
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
@@ -205,8 +185,7 @@
     void learn(const Rpc &rpc, const Pick &pick) {
         Host &host = hosts[pick.host];
         const int method = rpc.from.method;
-        const bool served = pick.outcome == Outcome::ok, diverged = speaks_against(rpc, pick);
-        const bool failed = diverges(pick.outcome) && !hurried(rpc, pick);
+        const bool served = pick.outcome == Outcome::ok, failed = speaks_against(rpc, pick);
         const bool refused = pick.outcome == Outcome::no_route;
         if (failed || refused) ++host.misses, host.missed_at = now;
         if (served) host.misses = 0;
@@ -216,27 +195,26 @@
             host.fails = fails(host) + (failed - fails(host)) * kHostRate;
             host.fails_at = now;
         }
-        const bool timed = served || (failed && pick.outcome == Outcome::too_slow);
+        const bool timed = served || (pick.outcome == Outcome::too_slow && !hurried(rpc, pick));
         const double excess = excess_of(pick, method);
         if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
-        if (timed) note_lateness(method, ratio, kLateSpan, kHostRate);
-        if (timed) note_lateness(terms.methods.size() + rpc.from.tenant, ratio, kLateSpan, kHostRate);
+        if (timed) note_lateness(rpc, ratio, kLateSpan, kHostRate);
         if (served && warmth(host) >= 1) warm_served.push_back(now);
         of(pick.build).proven[method] += served;
         of(pick.build).tried.add(1, proves_unrun(pick.outcome));
         if (pick.on_trial) {
-            if (!pick.copy && (served || diverged)) judge(rpc, pick, diverged, excess);
+            if (!pick.copy && (served || failed)) judge(rpc, pick, failed, excess);
             return;
         }
         if (served && !trial_runs()) {
             usual[method] += excess * std::max(1.0 / ++usual_count[method], 0.004);
             if (usual_count[method] > 20) kind_excess[host.entry.kind] += excess * 0.01;
         }
-        if (!served && !diverged) return;
-        earlier.push_back({now, method, pick.host, diverged, timed, excess});
+        if (!served && !failed) return;
+        earlier.push_back({now, method, pick.host, failed, timed, excess});
         if (pick.build == known.build && watching())
-            judge(rpc, pick, diverged && pick.outcome != Outcome::too_slow, excess);
+            judge(rpc, pick, failed && pick.outcome != Outcome::too_slow, excess);
     }
 
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
@@ -303,15 +281,7 @@
         const int stage = number == known.build ? known.stage : 0;
         const bool guarded = stage < terms.rollout.guarded_stages;
         if (cap(number) <= 0 || (guarded && terms.methods[method].repeat != Repeat::idempotent)) return false;
-        double took = 0, sent = 0;
-        for (std::size_t i = 0; i < taken.size(); ++i) {
-            if (terms.rollout.cap_by_method && static_cast<int>(i) != method) continue;
-            std::deque<Ticks> &picks = of(number).picked[i];
-            forget(taken[i], now - terms.rollout.window + 1);
-            forget(picks, now - terms.rollout.window - 1);
-            took += static_cast<double>(taken[i].size());
-            sent += static_cast<double>(picks.size());
-        }
+        const auto [took, sent] = exposure(number, method);
         return sent + 1 <= terms.rollout.free_picks + cap(number) * took;
     }
 
@@ -523,7 +493,7 @@
         const auto at =
             std::find_if(rpc.picks.begin(), rpc.picks.end(), [](auto &pick) { return pick.open; });
         const Host &host = hosts[at->host];
-        const bool slow = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kUnwell);
+        const bool slow = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kSlowAil);
         const int target = slow && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
         if (target < 0 || used(rpc, target) || (!beside && !terms.may_cut)) {
             rpc.look_at = now + look_wait(rpc.from.method) / 2;
@@ -653,18 +623,18 @@
     // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
     bool slows_all(const Evidence &told) {
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
-        const double more = std::max(0.0, std::log(told.traffic / std::max(1e-9, told.calm)));
-        const double bar = std::log(kSharedRise) + kLoadRise * more;
+        const double load =
+            told.traffic / std::max(1e-9, told.calm) * calm.sound / std::max(1e-9, lately.sound);
+        const double bar =
+            std::log(kSlowRatio) + kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
         const double rise = told.rise / std::max(1.0, told.witnesses);
         const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
-        // Sound hosts are missed in the jam itself, too: their number counts only when suspicion begins.
-        const bool alike = suspect_since >= 0 || lately.sound > calm.sound * kSharedSound;
-        const bool open_case = at_issue && telling && alike && tallies.empty() && !calm.limited;
+        const bool open_case = at_issue && telling && tallies.empty() && !calm.limited;
         if (!open_case || rise <= bar * kSharedDoubt)
             suspect_since = -1;
         else if (suspect_since < 0)
             suspect_since = now;
-        return lasts(open_case && rise > bar, shared_since, kSharedFor);
+        return lasts(open_case && rise > bar, shared_since, kSlowFor);
     }
 
     Verdict judgement() {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -450,17 +450,49 @@
 
     double cap(int build) const { return build == known.build ? known.cap : terms.rollout.caps.front(); }
 
-    void note_lateness(std::size_t at, double ratio, double span, double most) {
-        if (at >= lateness.size()) return;
-        auto &[mean, seen] = lateness[at];
-        mean += (ratio - mean) * std::min(most, 1 - std::exp(static_cast<double>(seen - now) / span));
-        seen = now;
+    void note_lateness(const Rpc &rpc, double ratio, double span, double most) {
+        for (const std::size_t at : {std::size_t(rpc.from.method), terms.methods.size() + rpc.from.tenant}) {
+            if (at >= lateness.size()) continue;
+            auto &[mean, seen] = lateness[at];
+            mean += (ratio - mean) * std::min(most, 1 - std::exp(static_cast<double>(seen - now) / span));
+            seen = now;
+        }
     }
 
     static void forget(std::deque<Ticks> &times, Ticks before) {
         while (!times.empty() && times.front() < before) times.pop_front();
     }
 
+    // RPCs taken and picks sent to a build within the window, as the cap counts them.
+    std::pair<double, double> exposure(int number, int method) {
+        double took = 0, sent = 0;
+        for (std::size_t i = 0; i < taken.size(); ++i) {
+            if (terms.rollout.cap_by_method && static_cast<int>(i) != method) continue;
+            std::deque<Ticks> &picks = of(number).picked[i];
+            forget(taken[i], now - terms.rollout.window + 1);
+            forget(picks, now - terms.rollout.window - 1);
+            took += static_cast<double>(taken[i].size());
+            sent += static_cast<double>(picks.size());
+        }
+        return {took, sent};
+    }
+
+    // Latency over the usual of the hosts older than so much: the earlier ones' middle, all ones' best
+    // quarter.
+    void measure_fleet(Ticks old) {
+        std::vector<double> excess, all;
+        for (const Host &host : hosts) {
+            if (!usable(host) || now - host.entry.started < old) continue;
+            all.push_back(host.excess);
+            if (!on_trial(host.entry.build)) excess.push_back(host.excess);
+        }
+        if (!excess.empty()) lately.fleet = median(excess);
+        std::sort(all.begin(), all.end());
+        if (!all.empty()) lately.better = all[all.size() / 4];
+        lately.limited = limit > 0;
+        lately.sound = sound[0] + sound[1];
+    }
+
     void count_traffic(double rate) {
         const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
         traffic += (arrivals / span - traffic) * rate;
