--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -22,11 +22,11 @@
 constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
 constexpr Ticks kLoneFor = 100000;               // in stage one on one host, whose failures may be its own
 constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
-constexpr double kLeastShare = 0.02;          // that share falls with the sample, to this
+constexpr double kLeastShare = 0.01;          // that share falls with the sample, to this
 constexpr double kHoldShare = 0.10;           // timer: hold above this share
 constexpr int kHoldPairs = 10, kOnPairs = 20; // over so many pairs; pairs in the stage before a vote on
 constexpr int kOnDivergences = 1;             // at most so many of them diverging
-constexpr double kOnShare = 0.01;             // and so much of a large sample: machines fail a little anyway
+constexpr double kOnShare = 0.003;            // and so much of a large sample: machines fail a little anyway
 constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
 constexpr double kSlowChance = 3;     // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000;    // a clean balancer votes on after so long in a stage
@@ -470,7 +470,9 @@
         int target = choose(rpc, false, &price);
         // The draw yields where the trial's hosts are clearly fuller. Stops the hand-over from jamming them
         // while others have room: cold or lost hosts, popular keys, a slow build. Fewer picks judge it.
-        const bool fuller = newer >= 0 && target >= 0 && trial_price > price * kFuller;
+        if (newer >= 0) usual_price[1] += (trial_price - usual_price[1]) * kHostRate;
+        if (target >= 0) usual_price[0] += (price - usual_price[0]) * kHostRate;
+        const bool fuller = newer >= 0 && target >= 0 && usual_price[1] > usual_price[0] * kFuller;
         if (drawn && newer >= 0) yielding += (fuller - yielding) * 0.03;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
@@ -675,8 +677,9 @@
         const double needed = alone * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
         const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt);
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
-        const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.stage.picks;
-        if (seen.stage.picks >= kOnPairs && seen.stage.failed <= borne) return Verdict::on;
+        const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.all.picks;
+        if (seen.all.failed > borne) return Verdict::none;
+        if (seen.stage.picks >= kOnPairs) return Verdict::on;
         return seen.stage.failed <= 0 && now - stage_at >= kOnAnyway ? Verdict::on : Verdict::none;
     }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -180,8 +180,9 @@
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
-    Figures lately, calm; // calm: when the trial began
-    double yielding = 0;  // share of the draws for the trial that went elsewhere
+    Figures lately, calm;           // calm: when the trial began
+    double usual_price[2] = {0, 0}; // of the best hosts that picks were offered, earlier and trial
+    double yielding = 0;            // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
