--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,7 +58,7 @@
 
 constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
 
-constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build
+constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build, more where more may err
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
 constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
 
@@ -642,7 +642,7 @@
     Verdict judgement() {
         const Evidence seen = gather(of(known.build)), told = gather_told();
         const double odds = flag_odds(told);
-        if (odds > kFlagProof) return back("flags", seen, odds);
+        if (odds > kFlagProof + std::log(terms.instances)) return back("flags", seen, odds);
         const bool pooled = !tallies.empty() || told.routers * 2 > terms.instances;
         const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
         const bool failing = fails_much(seen) || (enough && fails_much(told));
