--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -208,7 +208,8 @@
             return;
         }
         if (served && !trial_runs()) {
-            usual[method] += excess * std::max(1.0 / ++usual_count[method], 0.004);
+            const double raw = excess + kind_excess[host.entry.kind];
+            usual[method] += raw * std::max(1.0 / ++usual_count[method], 0.004);
             if (usual_count[method] > 20) kind_excess[host.entry.kind] += excess * 0.01;
         }
         if (!served && !failed) return;
