--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -12,45 +12,45 @@
 namespace pineridge {
 namespace {
 // The divergence gate, in the design page's numbers where it gives them.
-constexpr int kBackDivergences = 5;   // fewer are chance
-constexpr int kBackPairs = 20;        // least sample for a vote back over all methods
-constexpr double kBackShare = 0.20;   // divergence share above the earlier build's own
-constexpr int kMethodPairs = 6;       // least sample for one method: effectful picks are dear to spend
+constexpr int kBackDivergences = 5; // fewer are chance
+constexpr int kBackPairs = 20; // least sample for a vote back over all methods
+constexpr double kBackShare = 0.20; // divergence share above the earlier build's own
+constexpr int kMethodPairs = 6; // least sample for one method: effectful picks are dear to spend
 constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
 constexpr double kBlind = 0.02, kBlindDoubt = 0.1; // chances under which trouble is no blind one, or in doubt
 constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
-constexpr Ticks kLoneFor = 100000;               // in stage one on one host, whose failures may be its own
+constexpr Ticks kLoneFor = 100000; // in stage one on one host, whose failures may be its own
 constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
-constexpr double kLeastShare = 0.01;          // that share falls with the sample, to this
-constexpr double kHoldShare = 0.10;           // timer: hold above this share
+constexpr double kLeastShare = 0.01; // that share falls with the sample, to this
+constexpr double kHoldShare = 0.10; // timer: hold above this share
 constexpr int kHoldPairs = 10, kOnPairs = 20; // over so many pairs; pairs in the stage before a vote on
-constexpr int kOnDivergences = 1;             // at most so many of them diverging
-constexpr double kOnShare = 0.003;            // and so much of a large sample: machines fail a little anyway
+constexpr int kOnDivergences = 1; // at most so many of them diverging
+constexpr double kOnShare = 0.003; // and so much of a large sample: machines fail a little anyway
 constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
-constexpr double kSlowChance = 3;     // over the root of the sample: what chance may add to a tallied latency
-constexpr Ticks kOnAnyway = 30000;    // a clean balancer votes on after so long in a stage
+constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
+constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000; // votes renew
-constexpr Ticks kVoteRetry = 3000;    // a vote that was not counted is sent again
-constexpr double kSlowRatio = 1.5;    // median latency against the earlier build's
+constexpr Ticks kVoteRetry = 3000; // a vote that was not counted is sent again
+constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
-constexpr std::size_t kBesides = 20;    // latencies of the earlier build, of a method, to compare with
-constexpr double kColdKeys = 1.3;       // trial hosts have yet to meet the keys that the earlier ones know
-constexpr double kFewHosts = 0.8;       // a lone trial host must be so much slower still: machines differ
-constexpr Ticks kColdSkip = 50000;      // hosts younger than this are left out of the latency median
-constexpr Ticks kEvidenceAge = 80000;   // older samples say nothing of a build that turns bad with time
+constexpr std::size_t kBesides = 20; // latencies of the earlier build, of a method, to compare with
+constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
+constexpr double kFewHosts = 0.8; // a lone trial host must be so much slower still: machines differ
+constexpr Ticks kColdSkip = 50000; // hosts younger than this are left out of the latency median
+constexpr Ticks kEvidenceAge = 80000; // older samples say nothing of a build that turns bad with time
 
 constexpr double kTrafficRate = 0.06; // a beat, of the newest figure in the traffic
-constexpr double kPeakFade = 0.985;   // a beat, of the peak that traffic is remembered by
-constexpr Ticks kSlowFor = 10000;     // the trial's median stays over the bar
-constexpr double kMinority = 0.6;     // trial's part up to which the earlier hosts can bear witness
+constexpr double kPeakFade = 0.985; // a beat, of the peak that traffic is remembered by
+constexpr Ticks kSlowFor = 10000; // the trial's median stays over the bar
+constexpr double kMinority = 0.6; // trial's part up to which the earlier hosts can bear witness
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
-constexpr double kLoadRise = 1.5;                       // powers of the traffic's growth that explain a rise
+constexpr double kLoadRise = 1.5; // powers of the traffic's growth that explain a rise
 constexpr double kFailRise = 15; // and what failing hosts of the earlier build explain, for their share
 constexpr Ticks kWatch = 100000; // after a release too
 constexpr Ticks kTellWait = 10000, kTellEach = 300; // between words to peers, and more for each of them
 
-constexpr int kFewRouters = 3;  // with more, traffic is not spread evenly enough to be known
+constexpr int kFewRouters = 3; // with more, traffic is not spread evenly enough to be known
 constexpr double kFuller = 1.5; // cost of the trial's best host over the earlier one's: clearly fuller
 
 constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
@@ -58,36 +58,41 @@
 
 constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
 
-constexpr double kFlagProof = 6.0;   // log odds that complaints follow the build, more where more may err
+constexpr double kFlagProof = 6.0; // log odds that complaints follow the build, more where more may err
 constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
-constexpr double kFlagPrior = 250;   // answers' worth of belief in few false complaints
+constexpr double kFlagPrior = 250; // answers' worth of belief in few false complaints
 
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
+constexpr double kPoolRate = 0.3; // a beat, of the newest mean of what others hold
 
-constexpr double kForgive = 30000.0;   // a failure share halves in this time without picks
-constexpr double kMissed = 3;          // cost of a host for each pick in a row that it missed
-constexpr double kSilence = 4.0;       // times the usual latency without any answer: silent
-constexpr Ticks kReportAge = 15000;    // older load reports are not used
-constexpr double kReportTrust = 0.5;   // of what a report shows beyond own picks, as it is late
+constexpr double kForgive = 30000.0; // a failure share halves in this time without picks
+constexpr double kMissed = 3; // cost of a host for each pick in a row that it missed
+constexpr double kSilence = 4.0; // times the usual latency without any answer: silent
+constexpr Ticks kReportAge = 15000; // older load reports are not used
+constexpr double kReportTrust = 0.5; // of what a report shows beyond own picks, as it is late
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
-constexpr int kRingPoints = 4;         // places of a host on the ring of keys, so that their parts are alike
-constexpr double kWarmKeyCost = 0.75;  // a host that has likely met the key is this much cheaper
-constexpr double kOlderCost = 3.0;     // a released build goes before those it replaces
+constexpr int kRingPoints = 4; // places of a host on the ring of keys, so that their parts are alike
+constexpr double kWarmKeyCost = 0.75; // a host that has likely met the key is this much cheaper
+constexpr double kOlderCost = 3.0; // a released build goes before those it replaces
 constexpr double kBudgetShare = 0.12, kBudgetMost = 30; // further picks a RPC, and saved up at most
-constexpr double kLookLatency = 3.0;                    // usual latencies before an RPC looks elsewhere
-constexpr double kLookLeast = 0.3, kLookMost = 0.6;     // of the soft deadline
-constexpr Ticks kLateSpan = 5000;                       // over which answers tell how late they come
-constexpr double kLateMost = 1.5;                       // a soft deadline missed by more says no more
+constexpr double kLookLatency = 3.0; // usual latencies before an RPC looks elsewhere
+constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
+constexpr Ticks kLateSpan = 5000; // over which answers tell how late they come
+constexpr double kLateMost = 1.5; // a soft deadline missed by more says no more
+constexpr double kHopeful = 0.8, kHopeless = 1.6; // expected latency over soft deadline: all sent, none
+constexpr double kCrowded = 0.4; // and from which none is sent a second time
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
-constexpr double kLeastWorth = 0.8;                    // share of the limit open to the least useful method
-constexpr double kOverShare = 0.5;                     // share of the limit open to a tenant past its quota
-constexpr double kColdSafety = 0.8;                    // of the push that a cold host stands
+constexpr double kLeastWorth = 0.8; // share of the limit open to the least useful method
+constexpr double kOverShare = 0.5; // share of the limit open to a tenant past its quota
+constexpr double kColdSafety = 0.8; // of the push that a cold host stands
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
-constexpr double kColdFloor = 2;    // picks a window that all routers together may always send
-constexpr Ticks kBeat = 1000;       // how often standing matters are looked at
-constexpr Ticks kAskAgain = 8000;   // wait after a failed call for the list; doubles up to four times that
+constexpr double kRateRise = 0.2; // a beat, towards a higher figure
+constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
+constexpr double kColdFloor = 2; // picks a window that all routers together may always send
+constexpr Ticks kBeat = 1000; // how often standing matters are looked at
+constexpr Ticks kAskAgain = 8000; // wait after a failed call for the list; doubles up to four times that
 
 constexpr Ticks kPause = 3000; // advice to a client that is pushed back
 
@@ -105,7 +110,7 @@
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
             if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
         }
-        fill_pools(now - kReportAge, kRingPoints, kHostRate);
+        fill_pools(now - kReportAge, kRingPoints, kPoolRate);
     }
 
     double fails(const Host &host) const {
@@ -148,6 +153,10 @@
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
+        forget(answered, now - 10000);
+        best_rate = std::max(best_rate * kPaceFade, best_rate + (answered.size() - best_rate) * kRateRise);
+        if (born < 0) born = now;
+        wait = best_rate > 0 && now > born + kNewcomer ? pending / best_rate * 10000 : 0;
         bend_limit();
     }
 
@@ -250,9 +259,10 @@
         learn(rpc, pick);
         if (outcome == Outcome::ok && !rpc.done) {
             of(pick.build).answers += 1;
+            answered.push_back(now);
             if (terms.rollout.keys_stay && on_trial(pick.build)) of(pick.build).keys.insert(rpc.from.key);
         }
-        rpc.done = rpc.done || complete || outcome == Outcome::ok;
+        if (complete || outcome == Outcome::ok) settle(rpc);
         judge_pair(rpc);
         enqueue(rpc);
     }
@@ -420,7 +430,7 @@
     }
 
     Decision finish(Rpc &rpc, bool push_back) {
-        rpc.done = true;
+        settle(rpc);
         if (!push_back || !may_push_back(rpc)) return {.act = Act::abort, .rpc = rpc.from.id};
         const auto pause = static_cast<Ticks>(kPause * (1 + rng.unit()));
         const Ticks most = terms.advise_pause ? terms.max_pause : 0;
@@ -428,13 +438,25 @@
     }
 
     // Pushback under a limit: least utility for its work first, tenants past their quota before all.
-    bool shed(const Rpc &rpc) const {
+    bool shed(const Rpc &rpc) const { return limit > 0 && open >= limit * worth_part(rpc); }
+
+    double worth_part(const Rpc &rpc) const {
         double most = 1e-9;
         for (std::size_t i = 0; i < terms.methods.size(); ++i) most = std::max(most, usefulness(i));
         const double part = kLeastWorth + (1 - kLeastWorth) * usefulness(rpc.from.method) / most;
-        return limit > 0 && open >= limit * part * (rpc.over_share ? kOverShare : 1);
+        return part * (rpc.over_share ? kOverShare : 1);
+    }
+
+    // How late would it be? By what is pending over what was answered a second at best. Stops jams before
+    // they show in answers, the least useful RPCs first; may push back at the head of a steep burst.
+    bool hopeless(const Rpc &rpc) {
+        const double late_by = wait / method_of(rpc).soft_deadline / worth_part(rpc);
+        return rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
+    // Is there room for picks beyond the first? In a crowd they only take it from others.
+    bool spare(const Rpc &rpc) const { return limit <= 0 && wait < method_of(rpc).soft_deadline * kCrowded; }
+
     double usefulness(std::size_t method) const {
         const double utility = terms.methods[method].utility;
         return terms.utility_by_work ? utility : utility / usual_latency(static_cast<int>(method));
@@ -465,7 +487,7 @@
         const Method &method = method_of(rpc);
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
-                              !rpc.from.retry && limit <= 0 && !method.stream;
+                              !rpc.from.retry && spare(rpc) && !method.stream;
         double price = 0, trial_price = 0;
         const int newer = drawn || copyable ? choose(rpc, true, &trial_price) : -1;
         int target = choose(rpc, false, &price);
@@ -478,7 +500,7 @@
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
-        if (target < 0) return finish(rpc, true);
+        if (target < 0 || hopeless(rpc)) return finish(rpc, true);
         // A copy is drawn by what the trial's hosts can bear beside their real traffic. Stops copies, of
         // retries too, from swamping them, cold ones above all, which would read as divergence.
         const double bearable = trial_part() * (known.stage > 0 ? kCopyBeside : 1);
@@ -497,7 +519,7 @@
             std::find_if(rpc.picks.begin(), rpc.picks.end(), [](auto &pick) { return pick.open; });
         const Host &host = hosts[at->host];
         const bool slow = silent(host, rpc.from.method) || host.excess - lately.fleet > std::log(kSlowAil);
-        const int target = slow && !at->cut && budget >= 1 ? choose(rpc, false) : -1;
+        const int target = slow && !at->cut && budget >= 1 && spare(rpc) ? choose(rpc, false) : -1;
         if (target < 0 || used(rpc, target) || (!beside && !terms.may_cut)) {
             rpc.look_at = now + look_wait(rpc.from.method) / 2;
             due.emplace(rpc.look_at, rpc.from.id);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -66,9 +66,9 @@
     Ticks missed_at = 0;
     Ticks quiet_since = 0;
     Ticks full_until = 0;
-    double weight = 0;          // what it can do beside the others
-    double others = 0;          // RPCs of other routers there, as reported
-    Ticks others_at = -1;       // never: below 0
+    double weight = 0; // what it can do beside the others
+    double others = 0; // RPCs of other routers there, as reported
+    Ticks others_at = -1; // never: below 0
     std::deque<Ticks> pushed{}; // picks of late, also those to the process before
     double dice = 0; // which of a fleet of routers may send where the part of each is under one pick
 };
@@ -76,9 +76,9 @@
 // The hosts that may be picked of one side, and where keys fall among them.
 struct Pool {
     std::vector<int> hosts;
-    std::vector<double> upto;                        // weight of the hosts up to this one
+    std::vector<double> upto; // weight of the hosts up to this one
     std::vector<std::pair<std::uint64_t, int>> ring; // some places for each host
-    double others = 0;                               // RPCs of other routers for each unit of weight
+    double others = 0; // RPCs of other routers for each unit of weight
 
     double total() const { return upto.empty() ? 0 : upto.back(); }
     int drawn(double unit) const {
@@ -102,10 +102,10 @@
 
 struct Build {
     std::deque<Sample> samples{};
-    std::vector<double> range{};             // by method: share of keys that it has
-    std::vector<int> proven{};               // by method: ok picks
+    std::vector<double> range{}; // by method: share of keys that it has
+    std::vector<int> proven{}; // by method: ok picks
     std::vector<std::deque<Ticks>> picked{}; // by method: picks within the exposure window
-    std::set<std::string> keys{};            // keys it has answered, where they must stay
+    std::set<std::string> keys{}; // keys it has answered, where they must stay
     double answers = 0;
     double flags = 0;
     Count tried{}; // own picks of it, failed: not taken by their hosts
@@ -116,21 +116,21 @@
     std::vector<Count> by_method;
     std::map<int, Count> by_host;
     std::vector<double> medians; // of hosts: log latency over the earlier hosts'
-    double timed = 0;            // picks that the latency stands on
-    double usual = 0;            // the earlier build's failure share
-    double slow = 0;             // log of its latency over the earlier build's
+    double timed = 0; // picks that the latency stands on
+    double usual = 0; // the earlier build's failure share
+    double slow = 0; // log of its latency over the earlier build's
     double slow_bar = 0;
-    Count answers;                // of all routers heard; failed: found wrong
-    double routers = 0;           // heard, this one too
-    double witnesses = 0;         // of them, those that saw the trial begin
+    Count answers; // of all routers heard; failed: found wrong
+    double routers = 0; // heard, this one too
+    double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // theirs together, now and when the trial began
-    double rise = 0;              // of their log latencies, summed
+    double rise = 0; // of their log latencies, summed
 };
 
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
 struct Figures {
     double traffic = 0;
-    double fleet = 0;  // middle host
+    double fleet = 0; // middle host
     double better = 0; // best quarter
     double sound = 0;
     bool limited = false;
@@ -154,7 +154,7 @@
     std::unordered_map<std::string, int> host_at;
     Pool pools[2]; // the earlier builds' and the trial's
     bool pools_due = true;
-    double sound[2] = {0, 0};                  // weight of the well ones on either side
+    double sound[2] = {0, 0}; // weight of the well ones on either side
     std::unordered_map<std::string, Rpc> rpcs; // looked up, never walked
     std::deque<std::string> todo, lines;
     using Due = std::pair<Ticks, std::string>;
@@ -168,21 +168,26 @@
     std::vector<int> usual_count;
     std::map<int, double> kind_excess;
     std::vector<std::deque<Ticks>> taken; // by method: arrivals within the exposure window
-    std::vector<double> tokens;           // by tenant: RPCs left within its quota
+    std::vector<double> tokens; // by tenant: RPCs left within its quota
     Ticks tokens_at = 0;
     double budget = 0;
-    int earned = 0;                                 // RPCs since it was last filled
-    int open = 0;                                   // picks
+    int earned = 0; // RPCs since it was last filled
+    int open = 0; // picks
     std::vector<std::pair<double, Ticks>> lateness; // by method, then by tenant: mean lateness, and when seen
-    double limit = 0;                               // of open picks; 0: none needed so far
-    double pace = 0;                                // picks a second at warm hosts, for each unit of rating
+    double limit = 0; // of open picks; 0: none needed so far
+    double pace = 0; // picks a second at warm hosts, for each unit of rating
     std::deque<Ticks> warm_served;
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
-    Figures lately, calm;           // calm: when the trial began
+    Figures lately, calm; // calm: when the trial began
+    std::deque<Ticks> answered; // ok
+    double best_rate = 0; // of them a second
+    double wait = 0; // of an RPC sent now, expected
+    Ticks born = -1;
+    int pending = 0; // RPCs without a final answer
     double usual_price[2] = {0, 0}; // of the best hosts that picks were offered, earlier and trial
-    double yielding = 0;            // share of the draws for the trial that went elsewhere
+    double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     double earlier_fails = 0;
     News known{};
@@ -215,6 +220,11 @@
         lines.emplace_back(line);
     }
 
+    void settle(Rpc &rpc) {
+        pending -= !rpc.done;
+        rpc.done = true;
+    }
+
     void enqueue(Rpc &rpc) {
         if (!rpc.queued) todo.push_back(rpc.from.id);
         rpc.queued = true;
@@ -258,6 +268,7 @@
         rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
         rpc.over_share = !within_quota(rpc.from.tenant);
         due.emplace(rpc.from.deadline, rpc.from.id);
+        ++pending;
         const std::string id = rpc.from.id;
         enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
     }
@@ -535,7 +546,7 @@
         if (found == rpcs.end()) return;
         std::vector<Pick> &picks = found->second.picks;
         if (streams >= 0 && streams < static_cast<int>(picks.size())) picks[streams].cut = true;
-        found->second.done = true;
+        settle(found->second);
         enqueue(found->second);
     }
 };
--- a/src/word.hpp
+++ b/src/word.hpp
@@ -13,7 +13,7 @@
     double picks = 0;
     double failed = 0;
     double timed = 0; // those that the latency stands on
-    double pace = 0;  // their log latencies, summed
+    double pace = 0; // their log latencies, summed
     double share() const { return picks > 0 ? failed / picks : 0; }
     double mean_pace() const { return timed > 0 ? pace / timed : 0; }
     void add(double more, double bad) { picks += more, failed += bad; }
@@ -27,14 +27,14 @@
 struct Word {
     Ticks at = 0; // when it came
     int build = 0;
-    double traffic = 0, calm = 0;     // first tries a second: now and when the trial began
-    double rise = 0;                  // log latency of the better hosts over that when it began
-    Count answers;                    // passed on from the build; failed: found wrong by clients
+    double traffic = 0, calm = 0; // first tries a second: now and when the trial began
+    double rise = 0; // log latency of the better hosts over that when it began
+    Count answers; // passed on from the build; failed: found wrong by clients
     std::vector<Count> trial, before; // by method
 
     static constexpr char kVersion = 1;
     static constexpr std::size_t kMost = 256; // bytes that peers take
-    static constexpr double kScale = 32;      // steps of a log latency
+    static constexpr double kScale = 32; // steps of a log latency
 
     std::string pack() const {
         std::string bytes{kVersion};
