--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -13,10 +13,8 @@
 namespace {
 // The divergence gate, in the design page's numbers where it gives them.
 constexpr int kBackDivergences = 5; // fewer are chance
-constexpr int kBackPairs = 20; // least sample for a vote back over all methods
-constexpr double kBackShare = 0.20; // divergence share above the earlier build's own
-constexpr int kMethodPairs = 6; // least sample for one method: effectful picks are dear to spend
-constexpr double kMethodShare = 0.35; // and the share it needs, as the sample is small
+constexpr int kBackPairs = 20, kMethodPairs = 6; // least samples for a vote back: over all, of one method
+constexpr double kBackShare = 0.20, kMethodShare = 0.35; // their divergence shares beyond the usual
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
 constexpr double kBlind = 0.02, kBlindDoubt = 0.1; // chances under which trouble is no blind one, or in doubt
 constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
@@ -30,8 +28,7 @@
 constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
-constexpr Ticks kVoteRenewal = 40000; // votes renew
-constexpr Ticks kVoteRetry = 3000; // a vote that was not counted is sent again
+constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
 constexpr std::size_t kBesides = 20; // latencies of the earlier build, of a method, to compare with
@@ -40,13 +37,11 @@
 constexpr Ticks kColdSkip = 50000; // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000; // older samples say nothing of a build that turns bad with time
 
-constexpr double kTrafficRate = 0.06; // a beat, of the newest figure in the traffic
-constexpr double kPeakFade = 0.985; // a beat, of the peak that traffic is remembered by
+constexpr double kTrafficRate = 0.06, kPeakFade = 0.985; // a beat: of the newest figure; of its peak
 constexpr Ticks kSlowFor = 10000; // the trial's median stays over the bar
 constexpr double kMinority = 0.6; // trial's part up to which the earlier hosts can bear witness
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
-constexpr double kLoadRise = 1.5; // powers of the traffic's growth that explain a rise
-constexpr double kFailRise = 15; // and what failing hosts of the earlier build explain, for their share
+constexpr double kLoadRise = 1.5, kFailRise = 15; // of all latencies: powers of load, for a failure share
 constexpr Ticks kWatch = 100000; // after a release too
 constexpr Ticks kTellWait = 10000, kTellEach = 300; // between words to peers, and more for each of them
 
@@ -59,8 +54,7 @@
 constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
 
 constexpr double kFlagProof = 6.0; // log odds that complaints follow the build, more where more may err
-constexpr double kWrongShare = 0.06; // share of wrong answers that the odds are set for
-constexpr double kFlagPrior = 250; // answers' worth of belief in few false complaints
+constexpr double kWrongShare = 0.06, kFlagPrior = 250; // wrong answers looked for; answers of prior belief
 
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
@@ -84,13 +78,11 @@
 constexpr double kCrowded = 0.4; // and from which none is sent a second time
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
-constexpr double kLeastWorth = 0.8; // share of the limit open to the least useful method
-constexpr double kOverShare = 0.5; // share of the limit open to a tenant past its quota
-constexpr double kColdSafety = 0.8; // of the push that a cold host stands
+constexpr double kLeastWorth = 0.8, kOverShare = 0.5; // of the room: least useful method, tenant past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr double kRateRise = 0.2; // a beat, towards a higher figure
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
-constexpr double kColdFloor = 2; // picks a window that all routers together may always send
+constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
 constexpr Ticks kBeat = 1000; // how often standing matters are looked at
 constexpr Ticks kAskAgain = 8000; // wait after a failed call for the list; doubles up to four times that
 
@@ -113,14 +105,11 @@
         fill_pools(now - kReportAge, kRingPoints, kPoolRate);
     }
 
-    double fails(const Host &host) const {
-        return host.fails * std::exp2(-static_cast<double>(now - host.fails_at) / kForgive);
+    double faded(double figure, Ticks since) const {
+        return figure * std::exp2(-static_cast<double>(now - since) / kForgive);
     }
-
-    double missing(const Host &host) const {
-        return kMissed * host.misses * std::exp2(-static_cast<double>(now - host.missed_at) / kForgive);
-    }
-
+    double fails(const Host &host) const { return faded(host.fails, host.fails_at); }
+    double missing(const Host &host) const { return kMissed * faded(host.misses, host.missed_at); }
     bool well(const Host &host) const { return fails(host) < kBackShare && missing(host) < kMissed; }
 
     // Has this held for so long? A figure that tops its bar for a moment, as queues jump, is no verdict.
@@ -143,7 +132,6 @@
         beat_at = now + kBeat;
         pools_due = true;
         count_traffic(kTrafficRate);
-        forget(warm_served, now - 10000);
         forget_evidence(now - kEvidenceAge);
         measure_fleet(kColdSkip);
         double warm = 0;
@@ -153,9 +141,7 @@
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
-        forget(answered, now - 10000);
         best_rate = std::max(best_rate * kPaceFade, best_rate + (answered.size() - best_rate) * kRateRise);
-        if (born < 0) born = now;
         wait = best_rate > 0 && now > born + kNewcomer ? pending / best_rate * 10000 : 0;
         bend_limit();
     }
@@ -195,10 +181,9 @@
         Host &host = hosts[pick.host];
         const int method = rpc.from.method;
         const bool served = pick.outcome == Outcome::ok, failed = speaks_against(rpc, pick);
-        const bool refused = pick.outcome == Outcome::no_route;
+        const bool refused = pick.outcome == Outcome::no_route || pick.outcome == Outcome::no_room;
         if (failed || refused) ++host.misses, host.missed_at = now;
         if (served) host.misses = 0;
-        if (pick.outcome == Outcome::no_room) host.full_until = now + kBeat / 2;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
             host.fails = fails(host) + (failed - fails(host)) * kHostRate;
@@ -296,9 +281,9 @@
         return sent + 1 <= terms.rollout.free_picks + cap(number) * took;
     }
 
-    // Rule 4: a cold host gets no more than this router's part of the push it stands, which is set against
-    // what warm hosts of its size serve. Picks since its start count, told of it or not. Where the part of
-    // each of many routers is under one pick, chance says which of them may send.
+    // Rule 4: this router's part of the push a cold host stands, set against what warm hosts of its size
+    // serve. All picks since its start count. Where that is under one, chance says which of many routers may
+    // send.
     bool room_in_cold(Host &host) const {
         const double warm = warmth(host);
         if (warm >= 1) return true;
@@ -316,7 +301,6 @@
                             [&](const auto &build) { return build.second.keys.count(rpc.from.key) > 0; });
     }
 
-    // --- choice of host ---
     bool eligible(const Rpc &rpc, Host &host, bool trial) {
         return usable(host) && on_trial(host.entry.build) == trial && keys_allow(rpc, host.entry.build) &&
                may_repeat(rpc, host) && room_in_cold(host) &&
@@ -341,13 +325,11 @@
         double cost = held / host.weight;
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
         const double sound = std::max(0.05, 1 - fails(host));
-        // A host that missed picks in a row, failing them or taking no connection, is left for others, longer
-        // each time. Stops fast failures from drawing picks, dead and crowded hosts from using up an RPC's,
-        // and keeps a router to hosts that know it; never out of use, so the rest are not swamped.
+        // A host that missed picks in a row is left for others, longer each time. Stops fast failures from
+        // drawing picks, dead or crowded hosts from using up an RPC's; keeps a router to hosts that know it.
         cost *= 1 + missing(host);
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
-        if (host.full_until > now) cost *= 4;
         if (watching() && host.entry.build < known.build) cost *= kOlderCost;
         return cost * (0.9 + 0.2 * rng.unit());
     }
@@ -437,9 +419,6 @@
         return {.act = Act::push_back, .rpc = rpc.from.id, .span = std::min(most, pause)};
     }
 
-    // Pushback under a limit: least utility for its work first, tenants past their quota before all.
-    bool shed(const Rpc &rpc) const { return limit > 0 && open >= limit * worth_part(rpc); }
-
     double worth_part(const Rpc &rpc) const {
         double most = 1e-9;
         for (std::size_t i = 0; i < terms.methods.size(); ++i) most = std::max(most, usefulness(i));
@@ -447,11 +426,13 @@
         return part * (rpc.over_share ? kOverShare : 1);
     }
 
-    // How late would it be? By what is pending over what was answered a second at best. Stops jams before
-    // they show in answers, the least useful RPCs first; may push back at the head of a steep burst.
-    bool hopeless(const Rpc &rpc) {
-        const double late_by = wait / method_of(rpc).soft_deadline / worth_part(rpc);
-        return rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
+    // Pushback, least utility for its work first and tenants past their quota before all: under the limit, or
+    // by the wait to expect, which is what is pending over what was answered a second at best. Stops jams
+    // before they show in answers; may push back at the head of a steep burst.
+    bool shed(const Rpc &rpc) {
+        const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
+        return (limit > 0 && open >= limit * part) ||
+               rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
     // Is there room for picks beyond the first? In a crowd they only take it from others.
@@ -500,7 +481,7 @@
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
         if (target < 0) target = choose(rpc, true);
-        if (target < 0 || hopeless(rpc)) return finish(rpc, true);
+        if (target < 0) return finish(rpc, true);
         // A copy is drawn by what the trial's hosts can bear beside their real traffic. Stops copies, of
         // retries too, from swamping them, cold ones above all, which would read as divergence.
         const double bearable = trial_part() * (known.stage > 0 ? kCopyBeside : 1);
@@ -548,7 +529,6 @@
         if (seen.medians.empty() || trial_part() > kMinority) return seen;
         // A slow build is slow on most hosts: the middle one speaks, and few hosts must speak louder. Stops
         // votes back for a neighbour or a weaker machine under the trial; a mildly slow build shows later.
-        // Beside a trial that took their traffic the earlier hosts run lighter: the higher figure counts.
         seen.slow = seen.medians[(seen.medians.size() - 1) / 2];
         seen.slow_bar = slow_bar(static_cast<double>(seen.medians.size()));
         return seen;
@@ -627,9 +607,8 @@
                told.answers.picks * (bad_rate - usual_rate);
     }
 
-    // The share that speaks against a build falls as the sample grows. Stops a build that fails a tenth of
-    // its picks, always or when busy, from passing under the first sample's bar. Where the earlier build
-    // fails too the bar rises: trouble strikes hosts, and few hosts unevenly.
+    // The bar falls as the sample grows, and rises where the earlier build fails: trouble strikes hosts, few
+    // unevenly. Stops a build that fails a tenth of its picks from passing under the first sample's bar.
     bool fails_much(const Evidence &seen) const {
         const auto much = [&](const Count &count, int least, double share) {
             const double picks = std::max<double>(least, count.picks);
@@ -648,17 +627,13 @@
     // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
     bool slows_all(const Evidence &told) {
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
-        const double load =
-            told.traffic / std::max(1e-9, told.calm) * calm.sound / std::max(1e-9, lately.sound);
-        const double bar =
-            std::log(kSlowRatio) + kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
+        const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
+        const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
+        const double bar = std::log(kSlowRatio) + explained;
         const double rise = told.rise / std::max(1.0, told.witnesses);
         const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
         const bool open_case = at_issue && telling && tallies.empty() && !calm.limited;
-        if (!open_case || rise <= bar * kSharedDoubt)
-            suspect_since = -1;
-        else if (suspect_since < 0)
-            suspect_since = now;
+        lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
         return lasts(open_case && rise > bar, shared_since, kSlowFor);
     }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -65,7 +65,6 @@
     int misses = 0; // picks in a row that it failed or took no connection for
     Ticks missed_at = 0;
     Ticks quiet_since = 0;
-    Ticks full_until = 0;
     double weight = 0; // what it can do beside the others
     double others = 0; // RPCs of other routers there, as reported
     Ticks others_at = -1; // never: below 0
@@ -510,6 +509,9 @@
         traffic += (arrivals / span - traffic) * rate;
         arrivals = 0;
         traffic_at = now;
+        if (born < 0) born = now;
+        forget(warm_served, now - 10000);
+        forget(answered, now - 10000);
     }
 
     void forget_evidence(Ticks before) {
