--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,6 +58,7 @@
 
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
+constexpr double kLoadRate = 0.05; // and of what either side holds: a lone host must not tip it by one pick
 constexpr double kPoolRate = 0.3; // a beat, of the newest mean of what others hold
 
 constexpr double kForgive = 30000.0; // a failure share halves in this time without picks
@@ -102,7 +103,7 @@
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
             if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
         }
-        fill_pools(now - kReportAge, kRingPoints, kPoolRate);
+        fill_pools(now - kReportAge, kRingPoints, kPoolRate, kLoadRate);
     }
 
     double faded(double figure, Ticks since) const {
@@ -336,7 +337,7 @@
 
     // The best of some hosts drawn by weight: of all where few routers share the load, of a few where many
     // do. Stops routers that see little of the load, and that late, from all picking the same host.
-    int choose(const Rpc &rpc, bool trial, double *price_of = nullptr) {
+    int choose(const Rpc &rpc, bool trial) {
         weigh_hosts();
         const Pool &pool = pools[trial];
         if (pool.hosts.empty()) return -1;
@@ -360,7 +361,6 @@
         }
         if (best < 0 || hosts[best].misses > 0)
             for (const int i : pool.hosts) consider(i);
-        if (price_of) *price_of = best >= 0 ? least : least_last;
         return best >= 0 ? best : last;
     }
 
@@ -469,14 +469,11 @@
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
-        double price = 0, trial_price = 0;
-        const int newer = drawn || copyable ? choose(rpc, true, &trial_price) : -1;
-        int target = choose(rpc, false, &price);
+        const int newer = drawn || copyable ? choose(rpc, true) : -1;
+        int target = choose(rpc, false);
         // The draw yields where the trial's hosts are clearly fuller. Stops the hand-over from jamming them
         // while others have room: cold or lost hosts, popular keys, a slow build. Fewer picks judge it.
-        if (newer >= 0) usual_price[1] += (trial_price - usual_price[1]) * kHostRate;
-        if (target >= 0) usual_price[0] += (price - usual_price[0]) * kHostRate;
-        const bool fuller = newer >= 0 && target >= 0 && usual_price[1] > usual_price[0] * kFuller;
+        const bool fuller = newer >= 0 && target >= 0 && pools[1].load > pools[0].load * kFuller;
         if (drawn && newer >= 0) yielding += (fuller - yielding) * 0.03;
         if (drawn && newer >= 0 && (!fuller || terms.rollout.keys_stay)) target = newer;
         // Where no earlier host may take it, the trial does as far as its cap allows, whatever the stage.
@@ -641,7 +638,7 @@
         const Evidence seen = gather(of(known.build)), told = gather_told();
         const double odds = flag_odds(told);
         if (odds > kFlagProof + std::log(terms.instances)) return back("flags", seen, odds);
-        const bool pooled = !tallies.empty() || told.routers * 2 > terms.instances;
+        const bool pooled = !tallies.empty() || (told.routers > 1 && told.routers * 2 > terms.instances);
         const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
         const bool failing = fails_much(seen) || (enough && fails_much(told));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -78,6 +78,7 @@
     std::vector<double> upto; // weight of the hosts up to this one
     std::vector<std::pair<std::uint64_t, int>> ring; // some places for each host
     double others = 0; // RPCs of other routers for each unit of weight
+    double load = 0; // of all routers
 
     double total() const { return upto.empty() ? 0 : upto.back(); }
     int drawn(double unit) const {
@@ -185,7 +186,6 @@
     double wait = 0; // of an RPC sent now, expected
     Ticks born = -1;
     int pending = 0; // RPCs without a final answer
-    double usual_price[2] = {0, 0}; // of the best hosts that picks were offered, earlier and trial
     double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     double earlier_fails = 0;
@@ -316,7 +316,7 @@
     }
 
     // Sorts the usable hosts by side. What others hold comes from reports since `fresh`, else from own picks.
-    void fill_pools(Ticks fresh, int points, double rate) {
+    void fill_pools(Ticks fresh, int points, double rate, double slow_rate) {
         pools_due = false;
         double told[2] = {0, 0}, there[2] = {0, 0}, own[2] = {0, 0};
         for (Pool &pool : pools) pool.hosts.clear(), pool.upto.clear(), pool.ring.clear();
@@ -341,6 +341,7 @@
             const double shown = there[side] > 0 ? rest / terms.instances * told[side] / there[side]
                                                  : rest * own[side] / pool.total();
             pool.others += (shown - pool.others) * rate;
+            pool.load += (shown + own[side] / pool.total() - pool.load) * slow_rate;
         }
     }
 
