Configuration read again on SIGHUP: list, stream and votes move to new addresses

Checked: main.cpp asked for SIGTERM and SIGINT only, so the default ended the process; watch, stream and link held the addresses of the start. Ruled out: a crash of the code, as no sanitizer or core told of one. Now the file is read and checked anew; a standing watch, the stream and a vote under way end, and the new services are asked at once, discovery for the whole list. RPCs, hosts and clients are untouched. Answers of discovery that cannot be read are asked for again at once.

--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -43,6 +43,12 @@
 
 void Driver::leave(std::function<void()> done) { clients_.leave(std::move(done)); }
 
+void Driver::move(const Address &discovery, const Address &platform) {
+    watch_.move_to(discovery);
+    stream_.move_to(platform);
+    votes_.move_to(platform);
+}
+
 Router &Driver::module() {
     if (!std::exchange(turn_, true)) {
         // Ticks count from the Unix epoch, so that a host's start is on the same clock; they never go back.
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -19,6 +19,7 @@
 
     void begin(); // ready for clients soon after
     void leave(std::function<void()> done); // ends service in order
+    void move(const Address &discovery, const Address &platform); // where these are to be had from now on
 
   private:
     struct Rpc {
--- a/src/router/http/link.cpp
+++ b/src/router/http/link.cpp
@@ -31,6 +31,14 @@
     co_return written == total;
 }
 
+bool Link::move_to(const Address &address) {
+    if (address == address_) return false;
+    address_ = address;
+    ++moves_;
+    close();
+    return true;
+}
+
 void Link::close() {
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -40,8 +48,9 @@
                                  Span wait, bool resend, Answer &answer) {
     if (socket_.is_open() && !quiet(socket_)) close();
     const bool kept = socket_.is_open();
+    const unsigned moves = moves_;
     const Call got = co_await once(method, path, body, wait, answer);
-    const bool again = kept && !fuse_.blown() && !answer.headed() && (got == Call::unsent || resend);
+    const bool again = kept && moves == moves_ && !fuse_.blown() && !answer.headed() && (got == Call::unsent || resend);
     if (got == Call::answered || !again) co_return got;
     co_return co_await once(method, path, body, wait, answer);
 }
--- a/src/router/http/link.hpp
+++ b/src/router/http/link.hpp
@@ -25,12 +25,17 @@
                                Span wait, bool resend, Answer &answer);
     void close();
 
+    // The service is to be had elsewhere from now on: the call under way ends as unclear. False where nothing
+    // changes.
+    bool move_to(const Address &address);
+
   private:
     asio::awaitable<Call> once(std::string_view method, std::string_view path, std::string_view body,
                                Span wait, Answer &answer);
 
     asio::io_context &io_;
     Address address_;
+    unsigned moves_ = 0;
     const Limits &limits_;
     asio::ip::tcp::socket socket_;
     Fuse fuse_;
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -40,6 +40,7 @@
     std::size_t head = 16 * 1024; // HTTP
     std::size_t news_line = 64 * 1024;
     std::size_t list_body = 4 * 1024 * 1024;
+    std::size_t spoilt = 4; // answers in a row that cannot be read, before a call counts as failed
     std::size_t read_step = 16 * 1024;
 
     // Times.
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -7,33 +7,33 @@
     asio::co_spawn(io_, run(), asio::detached);
 }
 
+void Watch::move_to(const Address &address) {
+    if (!link_.move_to(address)) return;
+    log_(Level::info, "list: from ", address, " now");
+    whole_due_ = true;
+    begin();
+}
+
 asio::awaitable<void> Watch::run() {
-    const Limits &limits = start_.limits;
     std::string why;
-    for (;;) {
-        http::Answer answer(limits.head, limits.list_body);
-        const std::string path = whole_due_ ? "/v1/endpoints"
-                                            : "/v1/endpoints?from=" + std::to_string(version_) +
-                                                  "&hold_ms=" + std::to_string(limits.list_hold.count());
-        const Span wait = whole_due_ ? limits.list_whole : limits.list_hold + limits.list_grace;
-        const http::Call got = co_await link_.call("GET", path, "", wait, true, answer);
-        if (got != http::Call::answered || answer.status() != 200) {
-            why = got == http::Call::answered ? "status " + std::to_string(answer.status()) : "no answer";
-            break;
-        }
+    for (std::size_t spoilt = 0;;) {
+        const bool whole = std::exchange(whole_due_, false);
         try {
-            const json body = json::parse(answer.body(), nullptr, false);
-            if (body.is_discarded()) wrong("list", "not JSON");
-            Listing listing = read_listing(body, start_.names);
-            // Changes from before what is known: discovery began anew, so the whole list is asked for.
-            whole_due_ = !listing.whole && listing.version < version_;
-            if (whole_due_) continue;
-            version_ = listing.version;
-            told_(listing);
-        } catch (const BadInput &bad) {
+            why = co_await ask(whole);
+            spoilt = 0;
+        } catch (const std::exception &bad) {
+            // Nothing of it is believed; the same is asked for at once, as a watch goes on only then.
             why = bad.what();
-            break;
+            link_.close();
+            if (++spoilt < start_.limits.spoilt) {
+                log_(Level::info, "list: spoilt: ", why);
+                whole_due_ = whole_due_ || whole;
+                continue;
+            }
         }
+        if (why.empty() || whole_due_) continue;
+        whole_due_ = whole;
+        break;
     }
     log_(Level::warning, "list: ", why);
     link_.close();
@@ -41,4 +41,30 @@
     failed_();
 }
 
+// Why it failed, or nothing. Throws for an answer that cannot be read.
+asio::awaitable<std::string> Watch::ask(bool whole) {
+    const Limits &limits = start_.limits;
+    http::Answer answer(limits.head, limits.list_body);
+    const std::string path =
+        whole ? "/v1/endpoints"
+              : "/v1/endpoints?from=" + std::to_string(version_) +
+                    "&hold_ms=" + std::to_string(limits.list_hold.count());
+    const Span wait = whole ? limits.list_whole : limits.list_hold + limits.list_grace;
+    const http::Call got = co_await link_.call("GET", path, "", wait, true, answer);
+    if (got != http::Call::answered) co_return "no answer";
+    if (answer.status() != 200) co_return "status " + std::to_string(answer.status());
+    const json body = json::parse(answer.body(), nullptr, false);
+    if (body.is_discarded()) wrong("list", "not JSON");
+    const Listing listing = read_listing(body, start_.names);
+    if (whole && !listing.whole) wrong("list", "not the whole list");
+    // Changes from before what is known: discovery began anew, so the whole list is asked for.
+    if (!listing.whole && listing.version < version_) {
+        whole_due_ = true;
+        co_return "";
+    }
+    version_ = listing.version;
+    told_(listing);
+    co_return "";
+}
+
 } // namespace pineridge::router::list
--- a/src/router/list/watch.hpp
+++ b/src/router/list/watch.hpp
@@ -18,10 +18,12 @@
           failed_(std::move(failed)) {}
 
     void begin(); // goes on until a call fails
+    void move_to(const Address &address); // asks there for the whole list, at once
     void stands_at(std::int64_t version) { version_ = version; }
 
   private:
     asio::awaitable<void> run();
+    asio::awaitable<std::string> ask(bool whole);
 
     asio::io_context &io_;
     const Start &start_;
--- a/src/router/main.cpp
+++ b/src/router/main.cpp
@@ -1,9 +1,8 @@
 // The router's command line.
-#include "router/driver.hpp"
+#include "router/service.hpp"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -14,18 +13,11 @@
 using namespace pineridge::router;
 
 int serve(const std::string &path, Level level) {
-    const Start start = read_start_file(path, [](const char *name) { return std::getenv(name); });
+    const Environment environment = [](const char *name) { return std::getenv(name); };
+    const Start start = read_start_file(path, environment);
     const Log log(std::cerr, start.name, level);
-    std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
-    Driver driver(io, start, log);
-    driver.begin();
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code failed, int) {
-        if (failed) return;
-        log(Level::info, "leaving");
-        driver.leave([&] { io.stop(); });
-    });
+    const Service service(io, path, environment, start, log, [&] { io.stop(); });
     io.run();
     log(Level::info, "left");
     return 0;
--- a/src/router/rollout/stream.cpp
+++ b/src/router/rollout/stream.cpp
@@ -9,34 +9,51 @@
 
 asio::awaitable<void> Stream::run() {
     const Limits &limits = start_.limits;
-    asio::steady_timer timer(io_);
     Span pause = limits.retry_least;
     for (;;) {
-        pause = co_await follow() ? limits.retry_least : std::min(pause * 2, limits.retry_most);
+        bool told = false;
+        try {
+            told = co_await follow();
+        } catch (const std::exception &failed) {
+            log_(Level::warning, "stream: ", failed.what());
+        }
+        if (std::exchange(moved_, false)) continue;
+        pause = told ? limits.retry_least : std::min(pause * 2, limits.retry_most);
         log_(Level::info, "stream ended, again in about ", pause.count(), " ms");
-        timer.expires_after(pause * std::uniform_int_distribution(75, 125)(chance_) / 100);
-        co_await timer.async_wait(use_awaitable);
+        timer_.expires_after(pause * std::uniform_int_distribution(75, 125)(chance_) / 100);
+        co_await timer_.async_wait(as_tuple(use_awaitable));
+        moved_ = false;
     }
 }
 
+void Stream::move_to(const Address &address) {
+    if (address == address_) return;
+    log_(Level::info, "stream: from ", address, " now");
+    address_ = address;
+    moved_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+}
+
 asio::awaitable<bool> Stream::follow() {
     const Limits &limits = start_.limits;
-    asio::ip::tcp::socket socket(io_);
+    socket_ = asio::ip::tcp::socket(io_);
     Fuse fuse(io_.get_executor());
-    fuse.light(socket, limits.platform_connect);
-    const auto [refused] = co_await socket.async_connect(start_.platform, as_tuple(use_awaitable));
+    fuse.light(socket_, limits.platform_connect);
+    const auto [refused] = co_await socket_.async_connect(address_, as_tuple(use_awaitable));
     if (refused || fuse.blown()) co_return false;
-    fuse.light(socket, limits.stream_silence);
-    if (!co_await http::write_call(socket, start_.platform, "GET", "/apis/fleet/stream", "")) co_return false;
+    fuse.light(socket_, limits.stream_silence);
+    if (!co_await http::write_call(socket_, address_, "GET", "/apis/fleet/stream", "")) co_return false;
     http::Answer answer(limits.head, limits.list_body);
     std::string unread;
     std::vector<char> room(limits.read_step);
     bool told = false;
     while (!answer.done() && !answer.bad()) {
         const auto [failed, size] =
-            co_await socket.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
+            co_await socket_.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
         if (failed) break;
-        fuse.light(socket, limits.stream_silence);
+        fuse.light(socket_, limits.stream_silence);
         answer.feed({room.data(), size});
         if (!answer.headed()) continue;
         if (answer.status() != 200) {
--- a/src/router/rollout/stream.hpp
+++ b/src/router/rollout/stream.hpp
@@ -14,9 +14,11 @@
 class Stream {
   public:
     Stream(asio::io_context &io, const Start &start, const Log &log, std::function<void(const Told &)> told)
-        : io_(io), start_(start), log_(log), told_(std::move(told)), chance_(start.seed) {}
+        : io_(io), start_(start), log_(log), told_(std::move(told)), chance_(start.seed),
+          address_(start.platform), socket_(io), timer_(io) {}
 
     void begin() { asio::co_spawn(io_, run(), asio::detached); }
+    void move_to(const Address &address); // connects there at once
 
   private:
     asio::awaitable<void> run();
@@ -28,6 +30,10 @@
     const Log &log_;
     std::function<void(const Told &)> told_;
     std::minstd_rand chance_;
+    Address address_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_; // the pause before the next connection
+    bool moved_ = false;
 };
 
 } // namespace pineridge::router::rollout
--- a/src/router/rollout/votes.cpp
+++ b/src/router/rollout/votes.cpp
@@ -17,7 +17,7 @@
         if (got == http::Call::answered && answer.status() == 200) {
             try {
                 news = read_news(json::parse(answer.body(), nullptr, false));
-            } catch (const BadInput &bad) {
+            } catch (const std::exception &bad) {
                 log_(Level::warning, "vote: ", bad.what());
                 news = {};
             }
--- a/src/router/rollout/votes.hpp
+++ b/src/router/rollout/votes.hpp
@@ -19,6 +19,7 @@
           answered_(std::move(answered)) {}
 
     void cast(int build, int stage, Verdict verdict);
+    void move_to(const Address &address) { link_.move_to(address); }
 
   private:
     asio::awaitable<void> run();
--- /dev/null
+++ b/tests/socket_test.cpp
@@ -0,0 +1,203 @@
+// The drivers of sockets, against small peers on loopback in the same process.
+#undef NDEBUG
+#include "router/service.hpp"
+
+#include <cassert>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace pineridge;
+using namespace pineridge::router;
+namespace asio = boost::asio;
+using asio::as_tuple;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+// A peer that keeps what it is sent, and answers what it has heard of a connection as the test tells it to.
+struct Peer {
+    explicit Peer(asio::io_context &io) : acceptor(io, {asio::ip::address_v4::loopback(), 0}) {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+    bool was_sent(const std::string &part) const { return sent.find(part) != std::string::npos; }
+
+    asio::awaitable<void> accept() {
+        for (;;) {
+            auto [failed, socket] = co_await acceptor.async_accept(as_tuple(use_awaitable));
+            if (failed) co_return;
+            ++taken;
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+    asio::awaitable<void> serve(tcp::socket socket) {
+        std::string heard, room(4096, '\0');
+        for (;;) {
+            const auto [failed, size] =
+                co_await socket.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
+            if (failed) break;
+            sent.append(room, 0, size), heard.append(room, 0, size);
+            const std::string reply = answer(heard);
+            if (reply.empty()) continue;
+            heard.clear();
+            co_await asio::async_write(socket, asio::buffer(reply), as_tuple(use_awaitable));
+        }
+        ++closed;
+    }
+
+    tcp::acceptor acceptor;
+    std::function<std::string(const std::string &heard)> answer = [](const auto &) { return ""; };
+    std::string sent;
+    int taken = 0, closed = 0; // connections
+};
+
+std::string free_address(asio::io_context &io) {
+    const tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::string sized(const std::string &body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+json settings() {
+    const json method{{"name", "lookup"}, {"repeat", "read_like"}, {"group", "all"}, {"aim", 0.5},
+                      {"window", 1},      {"worth", 1},            {"stream", false}};
+    json order = method;
+    order["name"] = "order", order["repeat"] = "non_idempotent";
+    return {{"instances", 1},
+            {"membershipMode", "ask"},
+            {"valueBy", "request"},
+            {"classes", {method, order}},
+            {"zones", {"a"}},
+            {"kinds", {"m2"}},
+            {"report", {{"fields", {"outstanding"}}}},
+            {"rules", {{"warmUp", 4}, {"overloadFor", 2}, {"coldShare", 0.4}, {"tipMultiple", 3}}},
+            {"permissions",
+             {{"cancel", true},
+              {"peers", false},
+              {"secondCopies", false},
+              {"retryAfter", true},
+              {"maxAttempts", 3},
+              {"maxRetryAfter", 1},
+              {"connectTimeout", 0.3},
+              {"keepalive", 10},
+              {"maxStreams", 1}}},
+            {"familyInfo",
+             {{"control", "first_voice"},
+              {"swap", "replace"},
+              {"capScope", "all"},
+              {"keysStay", false},
+              {"guardedStages", 0},
+              {"toAdvance", 1},
+              {"uncounted", 2},
+              {"flagShare", 0},
+              {"window", 3},
+              {"voteTtl", 6},
+              {"answerWait", 0.5},
+              {"rings", {0.1, 1}},
+              {"stageCap", {0.1, 1}}}}};
+}
+
+json entry(const std::string &id, const std::string &address) {
+    return {{"id", id}, {"addr", address},       {"zone", "a"},  {"kind", "m2"},    {"cell", 0},
+            {"state", "in_service"}, {"weight", 1}, {"started_ms", 0}, {"version_no", 1}};
+}
+
+// A router with its peers, told by a file as the operators tell it.
+struct Town {
+    Town() : list(io), platform(io), host(io), log(logged, "n", Level::debug) {
+        list.answer = [this](const std::string &heard) {
+            return heard.find("from=7") != std::string::npos ? "" : sized(whole_list(7).dump());
+        };
+        told = {{"name", "n"},
+                {"listen", free_address(io)},
+                {"discovery", list.address()},
+                {"seed", "ff"},
+                {"limits", {{"cores", 1}, {"memory_mb", 32}, {"sockets", 256}}},
+                {"deployer", {{"address", platform.address()}}},
+                {"known", whole_list(5)},
+                {"settings", settings()}};
+        told["deployer"]["news"] = {
+            {"build", 1}, {"stage", 1}, {"phase", "Healthy"}, {"cap", 1}, {"age_ms", 1}};
+        path = std::filesystem::temp_directory_path() / ("pineridge-" + std::to_string(::getpid()) + ".json");
+        write(told.dump());
+    }
+    ~Town() { std::filesystem::remove(path); }
+
+    json whole_list(int version) const {
+        return {{"version", version}, {"full", true}, {"servers", {entry("s", host.address())}}};
+    }
+    void write(const std::string &text) const { std::ofstream(path) << text; }
+    void serve() {
+        start = read_start_file(path, environment);
+        service.emplace(io, path, environment, start, log, [this] { left = true; });
+    }
+    void until(const std::function<bool()> &held) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!held()) {
+            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str();
+            assert(std::chrono::steady_clock::now() < end);
+            io.run_one_for(std::chrono::milliseconds(50));
+        }
+    }
+    bool has_logged(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+
+    asio::io_context io;
+    Peer list, platform, host;
+    const Environment environment = [](const char *) -> const char * { return nullptr; };
+    std::ostringstream logged;
+    Log log;
+    json told;
+    std::string path;
+    Start start;
+    std::optional<Service> service;
+    bool left = false;
+};
+
+void new_addresses_are_taken_on_sighup() {
+    Town town;
+    town.serve();
+    town.until([&] { return town.list.was_sent("from=7") && town.platform.was_sent("/stream"); });
+    Peer list(town.io), platform(town.io);
+    list.answer = [&](const std::string &heard) {
+        return heard.find("from=") != std::string::npos ? "" : sized(town.whole_list(3).dump());
+    };
+    town.told["discovery"] = list.address();
+    town.told["deployer"]["address"] = platform.address();
+    town.write(town.told.dump());
+    std::raise(SIGHUP);
+    std::raise(SIGHUP);
+    // The standing watch is not waited out, and the new service is asked for all it has.
+    town.until([&] { return list.was_sent("from=3") && platform.was_sent("/stream"); });
+    assert(list.sent.find("GET /v1/endpoints HTTP") == 0 && list.taken == 1 && platform.taken == 1);
+    town.until([&] { return town.list.closed == town.list.taken && town.platform.closed > 0; });
+}
+
+void a_file_that_is_not_sound_changes_nothing() {
+    Town town;
+    town.serve();
+    town.until([&] { return town.list.was_sent("from=7") && town.platform.was_sent("/stream"); });
+    town.write(town.told.dump().substr(0, 200));
+    std::raise(SIGHUP);
+    town.until([&] { return town.has_logged("configuration kept"); });
+    town.told["discovery"] = "127.0.0.1:x";
+    town.write(town.told.dump());
+    std::raise(SIGHUP);
+    town.until([&] { return town.has_logged("configuration kept: discovery"); });
+    std::raise(SIGTERM);
+    std::raise(SIGHUP);
+    town.until([&] { return town.left; });
+    assert(town.list.taken == 1 && town.platform.taken == 1);
+}
+
+} // namespace
+
+int main() {
+    new_addresses_are_taken_on_sighup();
+    a_file_that_is_not_sound_changes_nothing();
+}
