The module pushes back for want of room; hosts get two fifths of the descriptors

Probe: no pick waited for a connection at the 99th percentile, so the bound stood in the way of nothing. Fault: clients.cpp take(), start.cpp read_limits. Ruled out: the module's own limit, which was off at the time. Now the module is told the room and sheds by worth beyond four fifths of it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -79,6 +79,7 @@
 constexpr double kCrowded = 0.4; // and from which none is sent a second time
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
+constexpr double kFirstRoom = 0.8; // of the picks it can hold open, for first ones, the rest for further
 constexpr double kLeastWorth = 0.8, kOverShare = 0.5; // of the room: least useful method, tenant past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr double kRateRise = 0.2; // a beat, towards a higher figure
@@ -426,12 +427,13 @@
         return part * (rpc.over_share ? kOverShare : 1);
     }
 
-    // Pushback, least utility for its work first and tenants past their quota before all: under the limit, or
-    // by the wait to expect, which is what is pending over what was answered a second at best. Stops jams
-    // before they show in answers; may push back at the head of a steep burst.
+    // Pushback, least utility for its work first and tenants past their quota before all: under the limit,
+    // for want of room, or by the wait to expect, which is what is pending over what was answered a second
+    // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return (limit > 0 && open >= limit * part) ||
+        const double room = kFirstRoom * terms.room;
+        return open >= (limit > 0 ? std::min(limit, room) : room) * part ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -52,6 +52,7 @@
     bool advise_pause;
     bool utility_by_work;
     int max_picks;
+    int room = 1 << 30; // picks that this instance can hold open at once: without bound, unless told
     Ticks max_pause;
     Ticks cold_for;
     Ticks overload_for;
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -46,7 +46,7 @@
     void answer(std::uint64_t place, std::string bytes) {
         if (closed_) return;
         session_.answer(place, std::move(bytes));
-        home_.under_way_ -= std::erase_if(waiting_, [&](const auto &at) { return at.first == place; });
+        std::erase_if(waiting_, [&](const auto &at) { return at.first == place; });
         write();
     }
 
@@ -68,7 +68,6 @@
         boost::system::error_code ignored;
         socket_.close(ignored);
         resume_.cancel();
-        home_.under_way_ -= waiting_.size();
         for (const auto &[place, id] : std::exchange(waiting_, {})) home_.desk_.left(id);
         home_.busy(*this);
         home_.open_.erase(shared_from_this());
@@ -94,14 +93,9 @@
         if (words[0] == "PING") return session_.answer(place, "+PONG\r\n");
         if (words[0] != "Q.ASK" && words[0] != "Q.DO")
             return session_.answer(place, "-ERR unknown command\r\n");
-        // Stops a stall from growing by itself: clients whose answers wait open ever more connections.
-        if (home_.crowded())
-            return session_.answer(place, "-BUSY " + std::to_string(home_.start_.limits.come_again.count()) +
-                                              "\r\n");
         try {
             const Asked asked = read_rpc(words, home_.start_.names);
             waiting_.emplace_back(place, asked.id);
-            ++home_.under_way_;
             home_.desk_.rpc({shared_from_this(), place},
                             std::make_shared<const Held>(session_.command(), asked));
         } catch (const BadInput &bad) {
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -51,7 +51,6 @@
     void make_room(std::size_t most);
     void rest(Client &client);
     void busy(Client &client);
-    bool crowded() const { return under_way_ >= start_.limits.under_way; }
     void begin(asio::ip::tcp::socket socket);
 
     asio::io_context &io_;
@@ -61,7 +60,6 @@
     asio::ip::tcp::acceptor acceptor_;
     std::unordered_set<std::shared_ptr<Client>> open_;
     std::list<Client *> idle_; // of them, the one idle longest first
-    std::size_t under_way_ = 0; // RPCs without an answer
     std::chrono::steady_clock::time_point last_accept_{};
     bool leaving_ = false;
 };
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -25,9 +25,6 @@
     std::size_t warm = 3; // to one host, before the first clients
     std::size_t looked_at = 4; // idle clients looked at to make room for a new one
 
-    std::size_t under_way = 0; // RPCs: more are pushed back at once, before any pick
-    Span come_again{100}; // what those are told
-
     // One connection's bytes and counts.
     std::size_t value = 64 * 1024;
     std::size_t command = 160 * 1024; // key, names and body together
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -55,9 +55,8 @@
     limits.streams = count(allowed, "maxStreams", 1);
     limits.vote_wait = span(need(settings, "familyInfo"), "answerWait");
     const std::size_t open = limits.descriptors - kReserve;
-    limits.hosts = open / 6;
+    limits.hosts = open * 2 / 5; // a third of all are for clients that ask, the rest for those that do not
     limits.clients = open - limits.hosts;
-    limits.under_way = limits.hosts / 2; // so that a pick seldom waits for a connection
     return limits;
 }
 
@@ -99,6 +98,7 @@
     start.names = {names(settings, "classes"), names(settings, "tenants"), names(settings, "zones"),
                    names(settings, "kinds"), names(need(settings, "report"), "fields")};
     start.limits = read_limits(need(from, "limits"), settings);
+    start.terms.room = static_cast<int>(start.limits.hosts); // a connection carries one pick at a time
     return start;
 }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -370,6 +370,17 @@
     assert(at_large > 80 && at_large < 200);
 }
 
+// A router with room for ten open picks pushes back what is beyond, and keeps some for further picks.
+void want_of_room_pushes_back() {
+    Terms given = terms(Repeat::idempotent);
+    given.room = 10;
+    Bench bench(given);
+    bench.host("a", 1), bench.host("b", 1);
+    for (int i = 0; i < 20; ++i) bench.arrive(std::to_string(i) + "w", 900000);
+    const std::vector<Decision> made = bench.pull();
+    assert(count(made, Act::pick) == 8 && count(made, Act::push_back) == 12);
+}
+
 void same_events_give_same_picks() {
     Bench first(terms(Repeat::idempotent)), second(terms(Repeat::idempotent));
     for (Bench *bench : {&first, &second})
@@ -410,5 +421,6 @@
     hurried_client_tells_nothing();
     refusing_host_is_left();
     many_routers_do_not_herd();
+    want_of_room_pushes_back();
     same_events_give_same_picks();
 }
