Idle connections to hosts are used only as long as they do not break more often than new ones

The time told is 30 s. Now the ends are counted by idle time, and a connection older than what holds is closed unused.

--- a/src/router/hosts/exchange.hpp
+++ b/src/router/hosts/exchange.hpp
@@ -29,6 +29,8 @@
     // The ending, once the bytes so far hold it.
     std::optional<Ending> feed(std::string_view bytes);
 
+    bool begun() const { return !unread_.empty(); }
+
   private:
     Ending read(const resp::Value &answer) const;
 
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -71,8 +71,9 @@
             Hosts::Place *const place = here();
             // Drained, gone or another process since the pick was decided: nothing of it has been sent.
             if (!place || !place->ready || cut_) co_return Ending{Outcome::stale};
-            if (!fresh) socket_ = home_.take_idle(*place);
+            if (!fresh) socket_ = home_.take_idle(*place, idle_);
             if (!socket_) {
+                idle_.reset();
                 const auto until = std::min(until_, Clock::now() + home_.start_.limits.connect);
                 place->waiting.push_back(shared_from_this());
                 home_.dial_more(id_, *place);
@@ -115,11 +116,17 @@
         for (;;) {
             const auto [failed, size] =
                 co_await socket_->async_read_some(asio::buffer(room), as_tuple(use_awaitable));
+            if (!cut_ && !fuse_.blown()) note_end(failed && !exchange.begun());
             if (failed) co_return Ending{fuse_.blown() ? Outcome::too_slow : Outcome::cut};
             if (auto ending = exchange.feed({room.data(), size})) co_return std::move(*ending);
         }
     }
 
+    void note_end(bool broken) {
+        if (std::exchange(noted_, true)) return;
+        idle_ ? home_.trust_.note_kept(*idle_, broken) : home_.trust_.note_new(broken);
+    }
+
     Hosts &home_;
     std::string id_;
     std::shared_ptr<const clients::Held> held_;
@@ -129,10 +136,12 @@
     asio::steady_timer handed_; // ends early when a connection is at hand
     std::unique_ptr<Socket> socket_;
     std::uint64_t process_ = 0;
-    bool cut_ = false, sent_ = false, refused_ = false;
+    std::optional<Span> idle_; // how long its connection had stood idle; none: a new one
+    bool noted_ = false, cut_ = false, sent_ = false, refused_ = false;
 };
 
-Hosts::Hosts(asio::io_context &io, const Start &start, const Log &log) : io_(io), start_(start), log_(log) {}
+Hosts::Hosts(asio::io_context &io, const Start &start, const Log &log)
+    : io_(io), start_(start), log_(log), trust_(start.limits) {}
 
 void Hosts::put(const std::string &id, const Address &address, bool ready, Ticks started, int build) {
     Place &place = places_[id];
@@ -201,14 +210,18 @@
 
 void Hosts::cut(const std::shared_ptr<Call> &call) { call->cut(); }
 
-std::unique_ptr<Socket> Hosts::take_idle(Place &place) {
+std::unique_ptr<Socket> Hosts::take_idle(Place &place, std::optional<Span> &idle) {
     while (!place.idle.empty()) {
+        idle = std::chrono::floor<Span>(Clock::now() - place.idle.back().since);
+        if (!trust_.holds(*idle)) drop_idle(place, 0);
+        if (place.idle.empty()) break;
         std::unique_ptr<Socket> socket = std::move(place.idle.back().socket);
         place.idle.pop_back();
         --idle_;
         if (quiet(*socket)) return socket;
         close(socket);
     }
+    idle.reset();
     return nullptr;
 }
 
@@ -282,9 +295,14 @@
 
 // Closes connections well before the host would.
 void Hosts::sweep() {
-    const auto before = Clock::now() - start_.limits.idle / 2;
+    trust_.fade();
+    const auto now = Clock::now();
+    const auto old = [&](const Idle &idle) {
+        const Span span = std::chrono::floor<Span>(now - idle.since);
+        return span > start_.limits.idle / 2 || !trust_.holds(span);
+    };
     for (auto &[id, place] : places_)
-        for (; !place.idle.empty() && place.idle.front().since < before; place.idle.pop_front(), --idle_)
+        for (; !place.idle.empty() && old(place.idle.front()); place.idle.pop_front(), --idle_)
             close(place.idle.front().socket);
 }
 
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -3,6 +3,7 @@
 
 #include "router/clients/request.hpp"
 #include "router/hosts/exchange.hpp"
+#include "router/hosts/trust.hpp"
 
 #include <boost/asio.hpp>
 
@@ -55,7 +56,7 @@
         std::size_t dialing = 0;
     };
 
-    std::unique_ptr<asio::ip::tcp::socket> take_idle(Place &place);
+    std::unique_ptr<asio::ip::tcp::socket> take_idle(Place &place, std::optional<Span> &idle);
     void dial_more(const std::string &id, Place &place);
     asio::awaitable<void> dial(std::string id, std::uint64_t process, Address address);
     std::shared_ptr<Call> first_waiting(Place &place);
@@ -68,6 +69,7 @@
     const Start &start_;
     const Log &log_;
     std::unordered_map<std::string, Place> places_;
+    Trust trust_;
     std::size_t open_ = 0, idle_ = 0;
     std::uint64_t processes_ = 0;
 };
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -40,6 +40,10 @@
     std::size_t spoilt = 4; // answers in a row that cannot be read, before a call counts as failed
     std::size_t read_step = 16 * 1024;
 
+    // Idle connections to hosts are closed early where they break more often than new ones by this share, over
+    // so many uses; what was seen fades by this part a sweep, and counts for so many uses at most.
+    double trust_share = 0.2, trust_least = 8, trust_fade = 0.85, trust_most = 60;
+
     // Times.
     Span answer_lead{2}; // a final answer leaves so long before the client stops waiting
     Span unread_answers{10000}; // a client that takes none of its answer for so long is closed
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -2,6 +2,7 @@
 #undef NDEBUG
 #include "router/clients/session.hpp"
 #include "router/hosts/exchange.hpp"
+#include "router/hosts/trust.hpp"
 #include "router/http/http.hpp"
 
 #include <cassert>
@@ -154,9 +155,22 @@
     assert(cut.bad());
 }
 
+void idle_connections_that_break_are_no_longer_trusted() {
+    hosts::Trust trust(kLimits);
+    for (int i = 0; i < 40; ++i) {
+        trust.note_new(i % 10 == 0);
+        trust.note_kept(Span(5), i % 10 == 0);
+        trust.note_kept(Span(120), i % 2 == 0);
+    }
+    assert(trust.holds(Span(5)) && trust.holds(Span(60)) && !trust.holds(Span(120)) && !trust.holds(Span(900)));
+    for (int i = 0; i < 20; ++i) trust.fade();
+    assert(trust.holds(Span(900)));
+}
+
 } // namespace
 
 int main() {
+    idle_connections_that_break_are_no_longer_trusted();
     commands_are_read_however_split();
     bad_commands_break_the_connection();
     answers_keep_the_order_of_commands();
