Breaks are no evidence of host or build where the earlier hosts' connections break too

Checked: votes and their figures in the logs. Fault: logic.cpp speaks_against() counted every break as the host's or the build's. Covers any trouble of the network that breaks connections to all; may hide breaks of a build while it lasts.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,8 +30,7 @@
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
-constexpr std::size_t kSlowSample = 10; // latencies before a host's median speaks
-constexpr std::size_t kBesides = 20; // latencies of the earlier build, of a method, to compare with
+constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
 constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
 constexpr double kFewHosts = 0.8; // a lone trial host must be so much slower still: machines differ
 constexpr Ticks kColdSkip = 50000; // hosts younger than this are left out of the latency median
@@ -61,8 +60,8 @@
 constexpr double kLoadRate = 0.05; // and of what either side holds: a lone host must not tip it by one pick
 constexpr double kPoolRate = 0.3; // a beat, of the newest mean of what others hold
 
-constexpr double kForgive = 30000.0; // a failure share halves in this time without picks
-constexpr double kMissed = 3; // cost of a host for each pick in a row that it missed
+constexpr double kTorn = 0.05, kTornRate = 0.004; // earlier picks broken: the network's doing; of the newest
+constexpr double kForgive = 30000.0, kMissed = 3; // failures halve in this time; cost of a host for each miss
 constexpr double kSilence = 4.0; // times the usual latency without any answer: silent
 constexpr Ticks kReportAge = 15000; // older load reports are not used
 constexpr double kReportTrust = 0.5; // of what a report shows beyond own picks, as it is late
@@ -173,10 +172,12 @@
         return pick.outcome == Outcome::too_slow && pick.took < method_of(rpc).soft_deadline;
     }
 
-    // In a jam time-outs tell of the load; only then are they left out of the evidence.
+    // In a jam time-outs tell of the load; where connections to earlier hosts break too, breaks tell of the
+    // network. Only then are they left out. Stops either from blinding the gate and resting sound hosts.
     bool speaks_against(const Rpc &rpc, const Pick &pick) const {
         const bool jam = limit > 0 && pick.outcome == Outcome::too_slow;
-        return diverges(pick.outcome) && !jam && !hurried(rpc, pick);
+        const bool torn = breaks > kTorn && pick.outcome == Outcome::cut;
+        return diverges(pick.outcome) && !jam && !torn && !hurried(rpc, pick);
     }
 
     void learn(const Rpc &rpc, const Pick &pick) {
@@ -208,6 +209,7 @@
             usual[method] += raw * std::max(1.0 / ++usual_count[method], 0.004);
             if (usual_count[method] > 20) kind_excess[host.entry.kind] += excess * 0.01;
         }
+        if (served || diverges(pick.outcome)) breaks += ((pick.outcome == Outcome::cut) - breaks) * kTornRate;
         if (!served && !failed) return;
         earlier.push_back({now, method, pick.host, failed, timed, excess});
         if (pick.build == known.build && watching())
@@ -416,8 +418,7 @@
         settle(rpc);
         if (!push_back || !may_push_back(rpc)) return {.act = Act::abort, .rpc = rpc.from.id};
         const auto pause = static_cast<Ticks>(kPause * (1 + rng.unit()));
-        const Ticks most = terms.advise_pause ? terms.max_pause : 0;
-        return {.act = Act::push_back, .rpc = rpc.from.id, .span = std::min(most, pause)};
+        return {.act = Act::push_back, .rpc = rpc.from.id, .span = std::min(terms.max_pause, pause)};
     }
 
     double worth_part(const Rpc &rpc) const {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -144,6 +144,7 @@
         usual_count.assign(terms.methods.size(), 0);
         taken.resize(terms.methods.size());
         lateness.resize(terms.methods.size() + terms.tenant_quotas.size());
+        if (!terms.advise_pause) terms.max_pause = 0;
         for (double quota : terms.tenant_quotas) tokens.push_back(quota / terms.instances);
     }
 
@@ -189,6 +190,7 @@
     double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     double earlier_fails = 0;
+    double breaks = 0; // share of the earlier builds' picks whose connection broke, of late
     News known{};
     bool has_news = false;
     Ticks stage_at = 0, voted_at = 0, judge_at = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -297,6 +297,26 @@
     assert(!votes.empty() && votes[0].verdict == Verdict::back);
 }
 
+// Where the earlier hosts' connections break as well, breaks at the trial are the network's; failures are not.
+void torn_network_is_not_the_build() {
+    for (const Outcome end : {Outcome::cut, Outcome::fault}) {
+        Bench bench(trial_terms());
+        for (const char *id : {"o1", "o2", "o3"}) bench.host(id, 1);
+        bench.news(1, 1, Phase::released, 1);
+        for (int i = 0; i < 300; ++i) bench.more(4, Outcome::ok), bench.more(1, Outcome::cut);
+        bench.at(90000); // what came before the network was known to break is out of the evidence
+        for (int i = 0; i < 60; ++i) bench.more(4, Outcome::ok), bench.more(1, Outcome::cut);
+        bench.at(bench.clock + 1000);
+        for (const char *id : {"o1", "o2", "o3"}) bench.drain(id);
+        bench.trial_with(60, 0);
+        for (int i = 0; i < 40; ++i) bench.more(1, Outcome::ok), bench.more(1, end);
+        bench.at(bench.clock + 2000);
+        const auto votes = bench.pull(Act::vote);
+        const bool back = !votes.empty() && votes[0].verdict == Verdict::back;
+        assert(back == (end == Outcome::fault));
+    }
+}
+
 // One complaint, which may be false, sends nothing back; a run of them does.
 void complaints_need_proof() {
     for (const int flags : {1, 12}) {
@@ -416,6 +436,7 @@
     vote_back_stands();
     one_sick_host_is_not_the_build();
     even_failures_are_the_build();
+    torn_network_is_not_the_build();
     complaints_need_proof();
     fast_failing_host_rests();
     hurried_client_tells_nothing();
