In a jam what is drawn for a clearly emptier trial is sent; half of the room is for first picks

Ruled out: SIGHUP (calm by then), restarts (20.5 s at the latest). Fault: logic.cpp advance() shed before the draw. Covers any jam of the earlier build beside an idle trial: lost hosts, a bad release. May send more to a bad trial.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,7 +58,7 @@
 // Routing, health, time-outs and pushback.
 constexpr double kHostRate = 0.1; // weight of the newest outcome in a host's figures
 constexpr double kLoadRate = 0.05; // and of what either side holds: a lone host must not tip it by one pick
-constexpr double kPoolRate = 0.3; // a beat, of the newest mean of what others hold
+constexpr double kPoolRate = 0.3, kRateRise = 0.2; // a beat, of the newest: what others hold; a higher rate
 
 constexpr double kTorn = 0.05, kTornRate = 0.004; // earlier picks broken: the network's doing; of the newest
 constexpr double kForgive = 30000.0, kMissed = 3; // failures halve in this time; cost of a host for each miss
@@ -67,28 +67,23 @@
 constexpr double kReportTrust = 0.5; // of what a report shows beyond own picks, as it is late
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
 constexpr int kRingPoints = 4; // places of a host on the ring of keys, so that their parts are alike
-constexpr double kWarmKeyCost = 0.75; // a host that has likely met the key is this much cheaper
-constexpr double kOlderCost = 3.0; // a released build goes before those it replaces
+constexpr double kWarmKeyCost = 0.75, kOlderCost = 3.0; // of a host that likely met the key; of one replaced
 constexpr double kBudgetShare = 0.12, kBudgetMost = 30; // further picks a RPC, and saved up at most
 constexpr double kLookLatency = 3.0; // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
 constexpr Ticks kLateSpan = 5000; // over which answers tell how late they come
 constexpr double kLateMost = 1.5; // a soft deadline missed by more says no more
-constexpr double kHopeful = 0.8, kHopeless = 1.6; // expected latency over soft deadline: all sent, none
-constexpr double kCrowded = 0.4; // and from which none is sent a second time
+constexpr double kHopeful = 0.8, kHopeless = 1.6, kCrowded = 0.4; // wait over soft deadline: all, none, once
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
-constexpr double kFirstRoom = 0.8; // of the picks it can hold open, for first ones, the rest for further
+constexpr double kFirstRoom = 0.5; // of the picks it can hold open, for first ones: each may get a second
 constexpr double kLeastWorth = 0.8, kOverShare = 0.5; // of the room: least useful method, tenant past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
-constexpr double kRateRise = 0.2; // a beat, towards a higher figure
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
-constexpr Ticks kBeat = 1000; // how often standing matters are looked at
+constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
 constexpr Ticks kAskAgain = 8000; // wait after a failed call for the list; doubles up to four times that
 
-constexpr Ticks kPause = 3000; // advice to a client that is pushed back
-
 class Decider final : public Instance {
   public:
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
@@ -428,13 +423,14 @@
         return part * (rpc.over_share ? kOverShare : 1);
     }
 
+    bool crowded(double part) const { return open >= kFirstRoom * terms.room * part; }
+
     // Pushback, least utility for its work first and tenants past their quota before all: under the limit,
     // for want of room, or by the wait to expect, which is what is pending over what was answered a second
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        const double room = kFirstRoom * terms.room;
-        return open >= (limit > 0 ? std::min(limit, room) : room) * part ||
+        return crowded(part) || (limit > 0 && open >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
@@ -449,7 +445,7 @@
     Decision advance(Rpc &rpc) {
         if (rpc.done) return cut_rest(rpc);
         if (now >= rpc.from.deadline) return finish(rpc, false);
-        if (rpc.picks.empty()) return shed(rpc) ? finish(rpc, true) : first_pick(rpc);
+        if (rpc.picks.empty()) return first_pick(rpc);
         const bool spare = static_cast<int>(rpc.picks.size()) < terms.max_picks;
         if (rpc.want_copy) {
             rpc.want_copy = false;
@@ -470,6 +466,10 @@
     Decision first_pick(Rpc &rpc) {
         const Method &method = method_of(rpc);
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
+        // A jam of the earlier hosts is none of the trial's where these are clearly emptier: its part is
+        // sent. Stops a released build that fails late from starving the one that would replace it.
+        const bool emptier = drawn && pools[0].load > pools[1].load * kFuller && !crowded(1);
+        if ((!emptier || choose(rpc, true) < 0) && shed(rpc)) return finish(rpc, true);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
         const int newer = drawn || copyable ? choose(rpc, true) : -1;
