The door checks all of a command; hosts' answers have one shape and connections settle

Seen in the source beside PROTOCOL: any array that began with a bulk was served, any error line but SYNTAX kept the connection, a pick in wait got a connection without a look, so that a second copy of an answer became the next RPC's (the socket test reproduces it: wrong values within a few RPCs); Q.ASK and Q.DO, odd h and r, unknown names and unbounded ids went on to hosts.

--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -94,7 +94,7 @@
         if (words[0] != "Q.ASK" && words[0] != "Q.DO")
             return session_.answer(place, "-ERR unknown command\r\n");
         try {
-            const Asked asked = read_rpc(words, home_.start_.names);
+            const Asked asked = read_rpc(words, home_.start_.names, home_.start_.limits.word);
             waiting_.emplace_back(place, asked.id);
             home_.desk_.rpc({shared_from_this(), place},
                             std::make_shared<const Held>(session_.command(), asked));
--- a/src/router/clients/request.cpp
+++ b/src/router/clients/request.cpp
@@ -8,36 +8,51 @@
 
 namespace {
 
-double patience_of(std::string_view value) {
+double number_of(std::string_view value, const char *name) {
     double read = 0;
     const auto got = std::from_chars(value.data(), value.data() + value.size(), read);
-    if (got.ec != std::errc{} || got.ptr != value.data() + value.size()) wrong("d", "not a number");
-    if (!(read >= 0 && read <= 1e8)) wrong("d", "out of range");
+    if (got.ec != std::errc{} || got.ptr != value.data() + value.size()) wrong(name, "not a number");
+    if (!(read >= 0 && read <= 1e8)) wrong(name, "out of range");
     return read;
 }
 
+// A word that stands between blanks and commas elsewhere, and is kept for as long as its RPC.
+void check_word(std::string_view word, const char *name, std::size_t most) {
+    if (word.empty() || word.size() > most) wrong(name, "empty or too long");
+    const auto odd = [](unsigned char c) { return c <= ' ' || c >= 127; };
+    if (std::any_of(word.begin(), word.end(), odd)) wrong(name, "holds odd characters");
+}
+
 void take_field(std::string_view name, std::string_view value, const Names &names, Asked &asked) {
     if (name == "c") {
         asked.method = place_of(names.methods, std::string(value), "c");
     } else if (name == "t") {
         if (!names.tenants.empty()) asked.tenant = place_of(names.tenants, std::string(value), "t");
     } else if (name == "d") {
-        asked.patience = ticks_down(patience_of(value) / 1000);
+        asked.patience = ticks_down(number_of(value, "d") / 1000);
         asked.patience_at = value;
     } else if (name == "r") {
+        if (value != "0" && value != "1") wrong("r", "neither 0 nor 1");
         asked.retry = value == "1";
+    } else if (name == "h") {
+        number_of(value, "h");
+    } else if (name == "k") {
+        check_word(value, "k", value.size());
+    } else {
+        wrong("names", "one that no client sends");
     }
 }
 
 } // namespace
 
-Asked read_rpc(const std::vector<std::string_view> &words, const Names &names) {
+Asked read_rpc(const std::vector<std::string_view> &words, const Names &names, std::size_t most) {
     if (words.size() < 4 || words.size() > 5) wrong("command", "not a key, an id, names and a body");
     Asked asked{};
     asked.key = words[1];
     asked.id = words[2];
     asked.names = words[3];
-    if (asked.id.empty()) wrong("id", "empty");
+    check_word(asked.id, "id", most);
+    if (!asked.key.empty()) check_word(asked.key, "key", most);
     std::vector<std::string_view> seen;
     for (std::string_view rest = asked.names; !rest.empty();) {
         const std::string_view field = rest.substr(0, rest.find(','));
@@ -51,6 +66,12 @@
     }
     for (const std::string_view needed : {"c", "d"})
         if (std::find(seen.begin(), seen.end(), needed) == seen.end()) wrong(std::string(needed), "missing");
+    if (!names.tenants.empty() && std::find(seen.begin(), seen.end(), "t") == seen.end())
+        wrong("t", "missing");
+    // A host takes the other command, or a body that does not belong, for bytes that it cannot read.
+    const bool asks = words[0] == "Q.ASK";
+    if (asks != names.idempotent.at(asked.method)) wrong("c", "not for this command");
+    if (asks && words.size() > 4) wrong("body", "not for this command");
     return asked;
 }
 
--- a/src/router/clients/request.hpp
+++ b/src/router/clients/request.hpp
@@ -27,8 +27,8 @@
     Asked asked; // its views lie in the command
 };
 
-// Throws BadInput for what no client should send.
-Asked read_rpc(const std::vector<std::string_view> &words, const Names &names);
+// Throws BadInput for what no client should send; `most` bounds its id and its key.
+Asked read_rpc(const std::vector<std::string_view> &words, const Names &names, std::size_t most);
 
 // The command once more with another time, as views into it and into the scratch.
 struct Reworded {
--- a/src/router/hosts/exchange.cpp
+++ b/src/router/hosts/exchange.cpp
@@ -43,21 +43,27 @@
     Ending ending{Outcome::fault};
     if (answer.kind == resp::Kind::error) {
         const std::string_view line = answer.body;
-        ending.reusable = line.substr(0, 6) != "SYNTAX";
-        if (line == "BUSY" || line.substr(0, 5) == "BUSY ") ending.outcome = Outcome::no_room;
-        if (const std::size_t space = line.rfind(' '); space != std::string_view::npos)
-            ending.report = read_report(line.substr(space + 1), fields_);
+        const auto says = [&](std::string_view words) {
+            return line.substr(0, words.size()) == words &&
+                   (line.size() == words.size() || line[words.size()] == ' ');
+        };
+        // Any other line is no answer of a host: what it stands for, and what follows, is not believed.
+        ending.reusable = says("ERR failed") || says("BUSY");
+        if (says("BUSY")) ending.outcome = Outcome::no_room;
+        if (ending.reusable) ending.report = read_report(line.substr(line.rfind(' ') + 1), fields_);
         return ending;
     }
-    if (answer.kind != resp::Kind::array || answer.items.empty()) return ending;
-    const resp::Value &value = answer.items.front();
-    if (value.kind != resp::Kind::bulk) return ending;
+    // The value, null, and the report or null: nothing else is an answer.
+    if (answer.kind != resp::Kind::array || answer.items.size() != 3) return ending;
+    const resp::Value &value = answer.items[0], &last = answer.items[2];
+    const bool reported = last.kind == resp::Kind::bulk;
+    if (value.kind != resp::Kind::bulk || answer.items[1].kind != resp::Kind::null ||
+        !(reported || last.kind == resp::Kind::null))
+        return ending;
     ending.outcome = Outcome::ok;
     ending.value = value.raw;
     ending.reusable = true;
-    if (const resp::Value &last = answer.items.back();
-        answer.items.size() > 1 && last.kind == resp::Kind::bulk)
-        ending.report = read_report(last.body, fields_);
+    if (reported) ending.report = read_report(last.body, fields_);
     return ending;
 }
 
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -30,13 +30,20 @@
         co_await asio::post(use_awaitable); // never ends within the call that sent it
         Ending ending = co_await attempt();
         fuse_.put_out();
+        if (cut_ && ending.outcome != Outcome::ok) ending.outcome = sent_ ? Outcome::undone : Outcome::stale;
+        const bool reusable = ending.reusable && !cut_;
+        std::exchange(ended_, nullptr)(std::move(ending));
+        if (!socket_) co_return;
+        // Stops a second copy of this answer, which comes a little later, from being read as the next RPC's.
+        if (reusable) {
+            handed_.expires_after(home_.start_.limits.settle);
+            co_await handed_.async_wait(as_tuple(use_awaitable));
+        }
         Hosts::Place *const place = here();
-        if (socket_ && ending.reusable && place && socket_->is_open())
+        if (reusable && place && quiet(*socket_))
             home_.hand_on(*place, std::move(socket_));
-        else if (socket_)
+        else
             home_.close(socket_);
-        if (cut_ && ending.outcome != Outcome::ok) ending.outcome = sent_ ? Outcome::undone : Outcome::stale;
-        std::exchange(ended_, nullptr)(std::move(ending));
     }
 
     void cut() {
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -29,6 +29,7 @@
     std::size_t value = 64 * 1024;
     std::size_t command = 160 * 1024; // key, names and body together
     std::size_t words = 16;
+    std::size_t word = 256; // an id or a key
     std::size_t depth = 4;
     std::size_t line = 1024; // RESP lines
     std::size_t first_read = 4096;
@@ -54,6 +55,7 @@
     Span platform_connect{1000};
     Span stream_silence{3500};
     Span retry_least{200}, retry_most{3000}; // pauses of the stream, doubling, spread
+    Span settle{1}; // between a host's answer and the next use of its connection: what is stray shows then
     Span accept_pause{5}; // after an accept that found no descriptor
     Span sweep{1000}; // how often idle connections are looked at
     Span leave_quiet{700}; // after SIGTERM: so long without a new connection ends accepting
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -97,6 +97,8 @@
     start.terms = read_terms(settings);
     start.names = {names(settings, "classes"), names(settings, "tenants"), names(settings, "zones"),
                    names(settings, "kinds"), names(need(settings, "report"), "fields")};
+    for (const Method &method : start.terms.methods)
+        start.names.idempotent.push_back(method.repeat == Repeat::idempotent);
     start.limits = read_limits(need(from, "limits"), settings);
     start.terms.room = static_cast<int>(start.limits.hosts); // a connection carries one pick at a time
     return start;
--- a/src/router/start.hpp
+++ b/src/router/start.hpp
@@ -17,6 +17,7 @@
 // The settings' names, whose places the module counts by.
 struct Names {
     std::vector<std::string> methods, tenants, zones, kinds, report_fields;
+    std::vector<bool> idempotent{}; // by method
 };
 
 struct Start {
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -105,6 +105,13 @@
     fed_alike("-ERR failed recent_ms=7,outstanding=2\r\n", answered);
     assert(answered({"-ERR failed recent_ms=7,outstanding=2\r\n"}) == "12kept");
     assert(answered({"-BUSY\r\n"}) == "20kept");
+    const std::string value = "$3\r\nabc\r\n", null = "$-1\r\n";
+    for (const std::string &odd : {"*1\r\n" + value, "*2\r\n" + value + null, "*3\r\n" + value + value + null,
+                                   "*3\r\n" + null + null + null, "*4\r\n" + value + null + null + null,
+                                   std::string("-ERR\r\n"), std::string("-BUSYX\r\n"),
+                                   std::string("-ERR failedly\r\n")})
+        assert(answered({odd}) == "10closed");
+    assert(answered({"*3\r\n" + value + null + "$1\r\n?\r\n"}) == "0" + value + "0kept");
     assert(answered({"*1\r\n$-1\r\n"}) == "10closed");
     assert(answered({"$3\r\nabc\r\n"}) == "10closed");
     assert(answered({"?\r\n"}) == "10closed");
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -45,6 +45,9 @@
             if (reply.empty()) continue;
             heard.clear();
             co_await asio::async_write(socket, asio::buffer(reply), as_tuple(use_awaitable));
+            if (!twice) continue;
+            co_await asio::post(use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(reply), as_tuple(use_awaitable));
         }
         ++closed;
     }
@@ -52,6 +55,7 @@
     tcp::acceptor acceptor;
     std::function<std::string(const std::string &heard)> answer = [](const auto &) { return ""; };
     std::string sent;
+    bool twice = false; // sends each answer again, a little later
     int taken = 0, closed = 0; // connections
 };
 
@@ -178,6 +182,48 @@
     town.until([&] { return town.list.closed == town.list.taken && town.platform.closed > 0; });
 }
 
+std::string bulk(const std::string &text) {
+    return std::string("$") + std::to_string(text.size()) + "\r\n" + text + "\r\n";
+}
+
+std::string ask(const std::string &id) {
+    return std::string("*4\r\n") + bulk("Q.ASK") + bulk("key") + bulk(id) + bulk("c=lookup,d=5000");
+}
+
+// The value that a host makes is the id asked for.
+std::string host_answer(const std::string &heard) {
+    const std::size_t id = heard.find("\r\nid-");
+    if (id == std::string::npos || heard.find("c=lookup") == std::string::npos) return "";
+    return std::string("*3\r\n") + bulk(heard.substr(id + 2, 6)) + "$-1\r\n$-1\r\n";
+}
+
+void second_copies_of_answers_are_nobodys_answer() {
+    Town town;
+    town.host.answer = host_answer;
+    town.host.twice = true;
+    town.serve();
+    town.until([&] { return town.has_logged("serving"); });
+    tcp::socket client(town.io);
+    client.connect({asio::ip::address_v4::loopback(), town.start.listen.port()});
+    std::string wanted, got(8192, '\0');
+    std::size_t size = 0;
+    for (int round = 100; round < 200; ++round) {
+        std::string asked;
+        for (int i = 0; i < 4; ++i) {
+            const std::string id = std::string("id-") + std::to_string(round).substr(1) + std::to_string(i);
+            asked += ask(id), wanted += bulk(id);
+        }
+        asio::write(client, asio::buffer(asked));
+        client.non_blocking(true);
+        town.until([&] {
+            boost::system::error_code none;
+            size += client.read_some(asio::buffer(&got[size], got.size() - size), none);
+            return size >= wanted.size();
+        });
+        assert(got.substr(0, size) == wanted);
+    }
+}
+
 void a_file_that_is_not_sound_changes_nothing() {
     Town town;
     town.serve();
@@ -200,4 +246,5 @@
 int main() {
     new_addresses_are_taken_on_sighup();
     a_file_that_is_not_sound_changes_nothing();
+    second_copies_of_answers_are_nobodys_answer();
 }
--- a/tests/telling_test.cpp
+++ b/tests/telling_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const Names kNames{{"lookup", "order"}, {"acme", "zeta"}, {"a"}, {"m2"}, {}};
+const Names kNames{{"lookup", "order"}, {"acme", "zeta"}, {"a"}, {"m2"}, {}, {true, false}};
 
 template <class Read> std::string complaint(Read read) {
     try {
@@ -38,7 +38,7 @@
 
 void an_rpc_is_read_and_passed_on_with_the_time_left() {
     const std::string command = command_of("c=order,d=480,t=zeta,h=9,k=x");
-    const clients::Asked asked = clients::read_rpc(words_of(command), kNames);
+    const clients::Asked asked = clients::read_rpc(words_of(command), kNames, 9);
     assert(asked.method == 1 && asked.tenant == 1 && asked.patience == 4800 && asked.id == "id");
     const clients::Held held(command, asked);
     clients::Reworded words;
@@ -51,9 +51,11 @@
 void odd_names_are_refused_by_name() {
     const auto says = [](const std::string &names) {
         const std::string command = command_of(names);
-        return complaint([&] { clients::read_rpc(words_of(command), kNames); }).substr(0, 2);
+        return complaint([&] { clients::read_rpc(words_of(command), kNames, 9); }).substr(0, 2);
     };
-    assert(says("c=order,d=480") == "");
+    assert(says("c=order,d=480,t=acme") == "");
+    assert(says("c=lookup,d=480,t=acme") == "c:" && says("c=order,d=480") == "t:");
+    assert(says("c=order,d=4,r=x") == "r:" && says("c=order,d=4,h=z") == "h:" && says("c=order,d=4,x=1") == "na");
     assert(says("c=other,d=480") == "c:" && says("c=order") == "d:" && says("d=480") == "c:");
     assert(says("c=order,d=4x") == "d:" && says("c=order,d=-1") == "d:" && says("c=order,d=nan") == "d:");
     assert(says("c=order,d=1,d=2") == "d:" && says("c=order,d=1,t=who") == "t:");
