Spoilt answers of discovery and the platform end at their first bytes and are asked for again

Seen in the source: a reply whose first bytes are not HTTP, or only a part of one, was waited on for the whole hold (22.5 s) while the list moved on; a second try fed the same Answer; after an unreadable line the stream was read on. Reproduced by two socket tests against stand-ins (noise, a part, other bytes; a spoilt line), which time out without.

--- a/src/router/http/http.cpp
+++ b/src/router/http/http.cpp
@@ -29,6 +29,7 @@
 
 void Answer::feed(std::string_view bytes) {
     unread_.append(bytes);
+    begun_ = begun_ || !bytes.empty();
     while (step()) {
     }
 }
@@ -64,6 +65,11 @@
     std::string_view found;
     switch (state_) {
     case State::head: {
+        static constexpr std::string_view kStart = "HTTP/1.";
+        if (unread_.compare(0, kStart.size(), kStart.substr(0, unread_.size())) != 0) {
+            state_ = State::bad; // noise is known by its first bytes
+            return false;
+        }
         const std::size_t end = unread_.find("\r\n\r\n");
         if (end == std::string::npos) {
             if (unread_.size() > most_head_) state_ = State::bad;
--- a/src/router/http/http.hpp
+++ b/src/router/http/http.hpp
@@ -19,6 +19,7 @@
 
     bool bad() const { return state_ == State::bad; }
     bool done() const { return state_ == State::done; }
+    bool begun() const { return begun_; }
     bool headed() const { return status_ != 0; }
     int status() const { return status_; }
     bool stays_open() const { return stays_open_ && unread_.empty(); }
@@ -39,7 +40,7 @@
     std::string unread_, body_;
     std::size_t left_ = 0;
     int status_ = 0;
-    bool stays_open_ = true, chunked_ = false, sized_ = false;
+    bool begun_ = false, stays_open_ = true, chunked_ = false, sized_ = false;
 };
 
 } // namespace pineridge::router::http
--- a/src/router/http/link.cpp
+++ b/src/router/http/link.cpp
@@ -50,7 +50,7 @@
     const bool kept = socket_.is_open();
     const unsigned moves = moves_;
     const Call got = co_await once(method, path, body, wait, answer);
-    const bool again = kept && moves == moves_ && !fuse_.blown() && !answer.headed() && (got == Call::unsent || resend);
+    const bool again = kept && moves == moves_ && !fuse_.blown() && !answer.begun() && (got == Call::unsent || resend);
     if (got == Call::answered || !again) co_return got;
     co_return co_await once(method, path, body, wait, answer);
 }
@@ -82,6 +82,8 @@
             close();
             break;
         }
+        // Stops an answer that breaks off from being waited for as long as a good one may be held.
+        if (!answer.begun()) fuse_.light(socket_, std::min(wait, limits_.answer_rest));
         answer.feed({room.data(), size});
     }
     fuse_.put_out();
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -52,6 +52,7 @@
     Span list_hold{20000};
     Span list_grace{2500}; // over the hold, before a watch counts as failed
     Span list_whole{2500}; // for the whole list
+    Span answer_rest{1000}; // for the rest of an answer of discovery or the platform, after its first bytes
     Span platform_connect{1000};
     Span stream_silence{3500};
     Span retry_least{200}, retry_most{3000}; // pauses of the stream, doubling, spread
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -51,6 +51,7 @@
                     "&hold_ms=" + std::to_string(limits.list_hold.count());
     const Span wait = whole ? limits.list_whole : limits.list_hold + limits.list_grace;
     const http::Call got = co_await link_.call("GET", path, "", wait, true, answer);
+    if (answer.bad() || (answer.begun() && !answer.done())) wrong("list", "an answer that cannot be read");
     if (got != http::Call::answered) co_return "no answer";
     if (answer.status() != 200) co_return "status " + std::to_string(answer.status());
     const json body = json::parse(answer.body(), nullptr, false);
--- a/src/router/rollout/stream.cpp
+++ b/src/router/rollout/stream.cpp
@@ -12,13 +12,16 @@
     Span pause = limits.retry_least;
     for (;;) {
         bool told = false;
+        const auto began = std::chrono::steady_clock::now();
         try {
             told = co_await follow();
         } catch (const std::exception &failed) {
             log_(Level::warning, "stream: ", failed.what());
         }
         if (std::exchange(moved_, false)) continue;
-        pause = told ? limits.retry_least : std::min(pause * 2, limits.retry_most);
+        // One that has told something is followed at once, unless it is the next in a row to end early.
+        const bool lasted = std::chrono::steady_clock::now() - began > limits.retry_least;
+        pause = told && lasted ? Span(0) : std::clamp(pause * 2, limits.retry_least, limits.retry_most);
         log_(Level::info, "stream ended, again in about ", pause.count(), " ms");
         timer_.expires_after(pause * std::uniform_int_distribution(75, 125)(chance_) / 100);
         co_await timer_.async_wait(as_tuple(use_awaitable));
@@ -62,24 +65,26 @@
         }
         told = true;
         unread += answer.take_body();
-        take_lines(unread);
-        if (unread.size() > limits.news_line) break;
+        // After a line that cannot be read nothing more of this connection is believed.
+        if (!take_lines(unread) || unread.size() > limits.news_line) break;
     }
     co_return told;
 }
 
-void Stream::take_lines(std::string &unread) {
+bool Stream::take_lines(std::string &unread) {
     std::size_t at = 0;
     for (std::size_t end; (end = unread.find('\n', at)) != std::string::npos; at = end + 1) {
         const std::string_view line = std::string_view(unread).substr(at, end - at);
         if (line.empty() || line == "\r") continue;
         try {
             told_(read_line(line, start_.names));
-        } catch (const BadInput &bad) {
+        } catch (const std::exception &bad) {
             log_(Level::warning, "stream: ", bad.what());
+            return false;
         }
     }
     unread.erase(0, at);
+    return true;
 }
 
 } // namespace pineridge::router::rollout
--- a/src/router/rollout/stream.hpp
+++ b/src/router/rollout/stream.hpp
@@ -23,7 +23,7 @@
   private:
     asio::awaitable<void> run();
     asio::awaitable<bool> follow(); // true if it told anything
-    void take_lines(std::string &unread);
+    bool take_lines(std::string &unread); // false: one cannot be read
 
     asio::io_context &io_;
     const Start &start_;
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -143,7 +143,7 @@
     assert(http_answer({chunked}) == "503bodydoneshut");
     assert(http_answer({"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 204 No\r\n\r\n"}) == "204doneopen");
     for (const char *bytes :
-         {"HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nbad\r\n\r\n",
+         {"noise", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nbad\r\n\r\n",
           "HTTP/1.1 200 OK\r\ncontent-length: 5, 6\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 65\r\n\r\n",
           "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
           "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nabc"})
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -224,6 +224,34 @@
     }
 }
 
+// Discovery answers with noise, with a part, with other bytes: asked again at once, on a new connection.
+void spoilt_lists_are_asked_for_again() {
+    Town town;
+    const std::string good = sized(town.whole_list(7).dump());
+    std::string other = good;
+    other.replace(other.find("\"full\""), 6, "(full)");
+    int calls = 0;
+    town.list.answer = [&](const std::string &heard) {
+        const std::string replies[] = {"\x01 noise", good.substr(0, 90), other, good};
+        return heard.find("from=7") != std::string::npos ? "" : replies[std::min(calls++, 3)];
+    };
+    town.serve();
+    town.until([&] { return town.list.was_sent("from=7"); });
+    assert(calls == 4 && town.list.taken == 4 && !town.has_logged("warning: list"));
+}
+
+// A line that cannot be read ends the stream's connection: the next is made at once and tells the state.
+void a_spoilt_stream_is_left() {
+    Town town;
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    town.platform.answer = [&](const std::string &) {
+        return head + (town.platform.taken == 1 ? "4\r\n[}?\n\r\n" : "3\r\n{}\n\r\n");
+    };
+    town.serve();
+    town.until([&] { return town.platform.taken == 2; });
+    assert(town.has_logged("warning: stream"));
+}
+
 void a_file_that_is_not_sound_changes_nothing() {
     Town town;
     town.serve();
@@ -247,4 +275,6 @@
     new_addresses_are_taken_on_sighup();
     a_file_that_is_not_sound_changes_nothing();
     second_copies_of_answers_are_nobodys_answer();
+    spoilt_lists_are_asked_for_again();
+    a_spoilt_stream_is_left();
 }
