--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -96,6 +96,7 @@
         try {
             const Asked asked = read_rpc(words, home_.start_.names, home_.start_.limits.word);
             waiting_.emplace_back(place, asked.id);
+            home_.last_rpc_ = Clock::now();
             home_.desk_.rpc({shared_from_this(), place},
                             std::make_shared<const Held>(session_.command(), asked));
         } catch (const BadInput &bad) {
@@ -178,10 +179,9 @@
 void Clients::begin(asio::ip::tcp::socket socket) {
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    last_accept_ = Clock::now();
     const auto client = std::make_shared<Client>(*this, std::move(socket));
     open_.insert(client);
-    make_room(start_.limits.clients);
+    make_room(start_.limits.kept);
     asio::co_spawn(io_, client->serve(), detached);
 }
 
@@ -210,8 +210,8 @@
     if (client.resting) idle_.erase(*std::exchange(client.resting, std::nullopt));
 }
 
-// Closes those idle longest, until so many connections are left. Stops idle ones from using up the
-// descriptors, which would leave new ones unheard and hosts out of reach. One that has yet to send its first
+// Closes those idle longest, until so many connections are left. Stops idle ones, of clients that ask once and
+// stay, from using up the descriptors, which would leave new ones unheard and hosts out of reach. One that has yet to send its first
 // command is left: it may be under way.
 void Clients::make_room(std::size_t most) {
     std::size_t left = start_.limits.looked_at;
@@ -237,12 +237,12 @@
 asio::awaitable<void> Clients::watch_leave(std::function<void()> done) {
     const Limits &limits = start_.limits;
     const auto began = Clock::now();
-    last_accept_ = began;
+    last_rpc_ = began;
     asio::steady_timer timer(io_);
     for (;;) {
         close_idle(limits.leave_unused);
         const auto now = Clock::now();
-        if (now - began >= limits.leave_least && now - last_accept_ >= limits.leave_quiet) break;
+        if (now - began >= limits.leave_least && now - last_rpc_ >= limits.leave_quiet) break;
         timer.expires_after(limits.accept_pause);
         co_await timer.async_wait(use_awaitable);
     }
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -60,7 +60,7 @@
     asio::ip::tcp::acceptor acceptor_;
     std::unordered_set<std::shared_ptr<Client>> open_;
     std::list<Client *> idle_; // of them, the one idle longest first
-    std::chrono::steady_clock::time_point last_accept_{};
+    std::chrono::steady_clock::time_point last_rpc_{}; // when it came
     bool leaving_ = false;
 };
 
--- a/src/router/limits.hpp
+++ b/src/router/limits.hpp
@@ -19,6 +19,7 @@
 
     // Shares of the descriptors.
     std::size_t clients;
+    std::size_t kept; // connections of clients up to which idle ones are kept
     std::size_t hosts;
 
     std::size_t dials = 1; // to one host at once: what comes free serves the rest
@@ -59,7 +60,7 @@
     Span settle{1}; // between a host's answer and the next use of its connection: what is stray shows then
     Span accept_pause{5}; // after an accept that found no descriptor
     Span sweep{1000}; // how often idle connections are looked at
-    Span leave_quiet{700}; // after SIGTERM: so long without a new connection ends accepting
+    Span leave_quiet{700}; // after SIGTERM: so long without an RPC ends accepting
     Span leave_least{1000}; // and not before
     Span leave_unused{500}; // a fresh connection waits so long for its first command then
 };
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -252,6 +252,57 @@
     assert(town.has_logged("warning: stream"));
 }
 
+tcp::socket client_of(Town &town) {
+    town.until([&] { return town.has_logged("serving"); });
+    tcp::socket client(town.io);
+    client.connect({asio::ip::address_v4::loopback(), town.start.listen.port()});
+    client.non_blocking(true);
+    return client;
+}
+
+bool ended(tcp::socket &client) {
+    char byte;
+    boost::system::error_code end;
+    while (client.read_some(asio::buffer(&byte, 1), end) > 0) {
+    }
+    return end && end != asio::error::would_block;
+}
+
+// Clients that ask once and stay: the eldest are closed before they fill the part of those to come.
+void clients_that_stay_leave_room() {
+    Town town;
+    town.serve();
+    std::vector<tcp::socket> clients;
+    for (std::size_t i = 0; i < town.start.limits.kept + 10; ++i) {
+        clients.push_back(client_of(town));
+        asio::write(clients.back(), asio::buffer("*1\r\n" + bulk("PING")));
+        town.until([&] { return clients.back().available() > 0; });
+    }
+    town.until([&] { return ended(clients[0]) && ended(clients[9]); });
+    assert(!ended(clients[10]) && !ended(clients.back()));
+}
+
+// Those that ask whether it is ready, and never for more, do not hold up its leaving.
+void pings_do_not_hold_up_leaving() {
+    Town town;
+    town.serve();
+    client_of(town);
+    std::raise(SIGTERM);
+    std::vector<tcp::socket> clients;
+    auto next = std::chrono::steady_clock::now();
+    const auto end = next + 5 * town.start.limits.leave_least;
+    town.until([&] {
+        const auto now = std::chrono::steady_clock::now();
+        assert(now < end);
+        if (town.left || now < next) return town.left;
+        next = now + std::chrono::milliseconds(50);
+        boost::system::error_code refused;
+        clients.emplace_back(town.io).connect({asio::ip::address_v4::loopback(), town.start.listen.port()}, refused);
+        if (!refused) asio::write(clients.back(), asio::buffer("*1\r\n" + bulk("PING")), refused);
+        return false;
+    });
+}
+
 void a_file_that_is_not_sound_changes_nothing() {
     Town town;
     town.serve();
@@ -277,4 +328,6 @@
     second_copies_of_answers_are_nobodys_answer();
     spoilt_lists_are_asked_for_again();
     a_spoilt_stream_is_left();
+    clients_that_stay_leave_room();
+    pings_do_not_hold_up_leaving();
 }
