--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -468,8 +468,8 @@
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
         // A jam of the earlier hosts is none of the trial's where these are clearly emptier: its part is
         // sent, where few routers know the load. Stops a release that fails late from starving its heir.
-        const bool jam = terms.instances <= kFewRouters && pools[0].load > pools[1].load * kFuller;
-        if (!(jam && limit > 0 && drawn && !crowded(1) && choose(rpc, true) >= 0) && shed(rpc)) return finish(rpc, true);
+        const bool jam = drawn && terms.instances <= kFewRouters && pools[0].load > pools[1].load * kFuller;
+        if (!(jam && limit > 0 && !crowded(1) && choose(rpc, true) >= 0) && shed(rpc)) return finish(rpc, true);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
         const int newer = drawn || copyable ? choose(rpc, true) : -1;
