--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -76,8 +76,7 @@
 constexpr double kHopeful = 0.8, kHopeless = 1.6, kCrowded = 0.4; // wait over soft deadline: all, none, once
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
-constexpr double kFirstRoom = 0.5; // of the picks it can hold open, for first ones: each may get a second
-constexpr double kLeastWorth = 0.8, kOverShare = 0.5; // of the room: least useful method, tenant past quota
+constexpr double kFirstRoom = 0.5, kLeastWorth = 0.8, kOverShare = 0.5; // of room: first, least, past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
@@ -469,7 +468,8 @@
         // A jam of the earlier hosts is none of the trial's where these are clearly emptier: its part is
         // sent, where few routers know the load. Stops a release that fails late from starving its heir.
         const bool jam = drawn && terms.instances <= kFewRouters && pools[0].load > pools[1].load * kFuller;
-        if (!(jam && limit > 0 && !crowded(1) && choose(rpc, true) >= 0) && shed(rpc)) return finish(rpc, true);
+        const bool eased = jam && limit > 0 && !crowded(1) && choose(rpc, true) >= 0;
+        if (!eased && shed(rpc)) return finish(rpc, true);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
         const int newer = drawn || copyable ? choose(rpc, true) : -1;
