Groundwork: floors, XML settings, structured log, sub-commands; the release plan and its desk

Need: staged releases by zone and customer want settings, events and commands of their own, and a plan that no platform gives. The folders stood in the way: protocols lay inside the router.

Change: resp, http, fuse and quiet move to src/net, limits and log to src/base, the command line to src/cli (one file a sub-command); no behaviour changes by it. src/settings reads XML through libxml2 against a schema compiled in, with file, line and key in its messages. The log writes through spdlog, plain as before or as JSON. src/release holds the plan (no I/O, no clock), the orders, the freezes, the desk's JSON and its driver. The module takes a cell with each RPC and a share for a build in a cell; without cells it takes neither path.

The tests that were there pass.

--- /dev/null
+++ b/src/base/address.hpp
@@ -0,0 +1,15 @@
+// TCP addresses as they are told: an IP address, a colon and a port.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace pineridge {
+
+using Address = boost::asio::ip::tcp::endpoint;
+
+// Throws BadInput naming the key.
+Address read_address(const std::string &text, const char *key);
+
+} // namespace pineridge
--- a/src/router/limits.hpp
+++ b/src/base/limits.hpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <cstddef>
 
-namespace pineridge::router {
+namespace pineridge {
 
 using Span = std::chrono::milliseconds;
 
@@ -39,6 +39,8 @@
     std::size_t head = 16 * 1024; // HTTP
     std::size_t news_line = 64 * 1024;
     std::size_t list_body = 4 * 1024 * 1024;
+    std::size_t snapshot = 32 * 1024 * 1024; // of the release desk
+    std::size_t opinions = 1024; // that wait to be given
     std::size_t spoilt = 4; // answers in a row that cannot be read, before a call counts as failed
     std::size_t read_step = 16 * 1024;
 
@@ -55,6 +57,9 @@
     Span list_whole{2500}; // for the whole list
     Span answer_rest{1000}; // for the rest of an answer of discovery or the platform, after its first bytes
     Span platform_connect{1000};
+    Span desk_answer{1000}; // for the release desk's answer to an opinion
+    Span desk_whole{5000}; // for its snapshot
+    Span plan_beat{100}; // between looks at the release plan
     Span stream_silence{3500};
     Span retry_least{200}, retry_most{3000}; // pauses of the stream, doubling, spread
     Span settle{1}; // between a host's answer and the next use of its connection: what is stray shows then
@@ -65,4 +70,4 @@
     Span leave_unused{500}; // a fresh connection waits so long for its first command then
 };
 
-} // namespace pineridge::router
+} // namespace pineridge
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,25 @@
+// The command line. Exit status 0: done; 1: failed; 2: what was told cannot be used.
+#include "base/bad_input.hpp"
+#include "cli/commands.hpp"
+
+#include <iostream>
+#include <vector>
+
+int main(int argc, char **argv) {
+    using namespace pineridge;
+    CLI::App app("pineridge: a front tier that watches over software updates");
+    app.require_subcommand(1);
+    const std::vector<cli::Command> commands{cli::serve(app), cli::check(app), cli::version(app),
+                                             cli::release(app)};
+    CLI11_PARSE(app, argc, argv);
+    try {
+        for (const cli::Command &command : commands)
+            if (const std::optional<int> status = command()) return *status;
+    } catch (const BadInput &bad) {
+        std::cerr << "pineridge: configuration: " << bad.what() << '\n';
+        return 2;
+    } catch (const std::exception &failed) {
+        std::cerr << "pineridge: " << failed.what() << '\n';
+    }
+    return 1;
+}
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -81,6 +81,7 @@
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
 constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
+constexpr std::size_t kMostAllowed = 256; // builds with shares by cell; beyond, the oldest numbers go
 constexpr Ticks kAskAgain = 8000; // wait after a failed call for the list; doubles up to four times that
 
 class Decider final : public Instance {
@@ -128,6 +129,8 @@
         pools_due = true;
         count_traffic(kTrafficRate);
         forget_evidence(now - kEvidenceAge);
+        forget_flows();
+        while (allowed.size() > kMostAllowed) allowed.erase(allowed.begin());
         measure_fleet(kColdSkip);
         double warm = 0;
         for (const Host &host : hosts)
@@ -279,6 +282,16 @@
         return sent + 1 <= terms.rollout.free_picks + cap(number) * took;
     }
 
+    // Rule 5, by cell: room for one more pick under the release plan's share of this cell's RPCs. It narrows
+    // the cap above and never widens it. Stops a customer or a zone from carrying more than its stage.
+    bool room_in_cell(const Rpc &rpc, int number) {
+        if (terms.cell_share >= 1) return true;
+        const double share = share_in_cell(number, rpc.from.cell);
+        if (share >= 1 || share <= 0) return share > 0;
+        const auto [took, sent] = cell_exposure(number, rpc.from.cell);
+        return sent + 1 <= share * took;
+    }
+
     // Rule 4: this router's part of the push a cold host stands, set against what warm hosts of its size
     // serve. All picks since its start count. Where that is under one, chance says which of many routers may
     // send.
@@ -295,13 +308,15 @@
     // Rule 5: a key that a newer build has answered goes to no lower one while that build is not going back.
     bool keys_allow(const Rpc &rpc, int number) const {
         if (!terms.rollout.keys_stay || rpc.from.key.empty() || !(trial_runs() || watching())) return true;
-        return std::none_of(builds.upper_bound(number), builds.end(),
-                            [&](const auto &build) { return build.second.keys.count(rpc.from.key) > 0; });
+        // A build that the plan allows its cell nothing of is going back there: it holds none of its keys.
+        return std::none_of(builds.upper_bound(number), builds.end(), [&](const auto &build) {
+            return build.second.keys.count(rpc.from.key) > 0 && share_in_cell(build.first, rpc.from.cell) > 0;
+        });
     }
 
     bool eligible(const Rpc &rpc, Host &host, bool trial) {
         return usable(host) && on_trial(host.entry.build) == trial && keys_allow(rpc, host.entry.build) &&
-               may_repeat(rpc, host) && room_in_cold(host) &&
+               may_repeat(rpc, host) && room_in_cold(host) && room_in_cell(rpc, host.entry.build) &&
                (!trial || room_on_trial(host.entry.build, rpc.from.method));
     }
 
@@ -396,6 +411,7 @@
         host.pushed.push_back(now);
         forget(host.pushed, now - terms.overload_for);
         if (trial) of(host.entry.build).picked[rpc.from.method].push_back(now);
+        if (terms.cell_share < 1) note_flow(rpc.from.cell, host.entry.build);
         rpc.look_at = now + look_wait(rpc.from.method);
         if (method.repeat != Repeat::non_idempotent) due.emplace(rpc.look_at, rpc.from.id);
         const Ticks left = rpc.from.deadline - now;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -17,6 +17,10 @@
 enum class Phase { on_trial, going_back, released, withdrawn };
 enum class Standing { gone = 1, draining = 2, ready = 3 };
 
+inline bool proves_unrun(Outcome end) {
+    return end == Outcome::no_room || end == Outcome::no_route || end == Outcome::stale;
+}
+
 struct Method {
     Repeat repeat;
     Group group;
@@ -58,6 +62,7 @@
     Ticks overload_for;
     double cold_share;
     double overload_multiple;
+    double cell_share = 1; // of a cell's RPCs for a build on trial of which no share was told; 1: no cells
     std::vector<Method> methods;
     std::vector<double> tenant_quotas; // RPCs a second over all instances; 0: none
     std::vector<std::string> report_fields;
@@ -82,6 +87,7 @@
     std::string key;
     Ticks deadline;
     bool retry;
+    int cell = -1; // of the release plan; shares are told by cell
 };
 
 struct News {
@@ -136,6 +142,8 @@
     virtual void news(const News &told) = 0;
     virtual void tally(const Tally &row) = 0;
     virtual void heard(int peer, const std::string &bytes) = 0;
+    // The release plan's share of a cell's RPCs (below 0: of all cells not told of since) for a build.
+    virtual void allow(int build, int cell, double share) = 0;
 
     // The next decision, until one of act none.
     virtual Decision next() = 0;
--- a/src/router/fuse.hpp
+++ b/src/net/fuse.hpp
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <memory>
 
-namespace pineridge::router {
+namespace pineridge {
 
 class Fuse {
   public:
@@ -45,4 +45,4 @@
     std::shared_ptr<State> state_;
 };
 
-} // namespace pineridge::router
+} // namespace pineridge
--- a/src/router/http/http.cpp
+++ b/src/net/http/http.cpp
@@ -1,10 +1,10 @@
-#include "router/http/http.hpp"
+#include "net/http/http.hpp"
 
 #include <algorithm>
 #include <cctype>
 #include <charconv>
 
-namespace pineridge::router::http {
+namespace pineridge::http {
 
 namespace {
 
@@ -173,4 +173,4 @@
     }
 }
 
-} // namespace pineridge::router::http
+} // namespace pineridge::http
--- a/src/router/http/http.hpp
+++ b/src/net/http/http.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace pineridge::router::http {
+namespace pineridge::http {
 
 class Answer {
   public:
@@ -43,4 +43,4 @@
     bool begun_ = false, stays_open_ = true, chunked_ = false, sized_ = false;
 };
 
-} // namespace pineridge::router::http
+} // namespace pineridge::http
--- a/src/router/http/link.cpp
+++ b/src/net/http/link.cpp
@@ -1,9 +1,9 @@
-#include "router/http/link.hpp"
-#include "router/quiet.hpp"
+#include "net/http/link.hpp"
+#include "net/quiet.hpp"
 
 #include <sstream>
 
-namespace pineridge::router::http {
+namespace pineridge::http {
 
 using asio::as_tuple;
 using asio::use_awaitable;
@@ -91,4 +91,4 @@
     co_return answer.done() ? Call::answered : Call::unclear;
 }
 
-} // namespace pineridge::router::http
+} // namespace pineridge::http
--- a/src/router/http/link.hpp
+++ b/src/net/http/link.hpp
@@ -1,14 +1,15 @@
 // A kept connection to an HTTP service: one call at a time, each with its own time-out.
 #pragma once
 
-#include "router/fuse.hpp"
-#include "router/http/http.hpp"
-#include "router/start.hpp"
+#include "base/address.hpp"
+#include "base/limits.hpp"
+#include "net/fuse.hpp"
+#include "net/http/http.hpp"
 
 #include <optional>
 #include <vector>
 
-namespace pineridge::router::http {
+namespace pineridge::http {
 
 namespace asio = boost::asio;
 
@@ -45,4 +46,4 @@
 asio::awaitable<bool> write_call(asio::ip::tcp::socket &socket, const Address &to, std::string_view method,
                                  std::string_view path, std::string_view body);
 
-} // namespace pineridge::router::http
+} // namespace pineridge::http
--- a/src/router/quiet.hpp
+++ b/src/net/quiet.hpp
@@ -6,7 +6,7 @@
 #include <cerrno>
 #include <sys/socket.h>
 
-namespace pineridge::router {
+namespace pineridge {
 
 inline bool quiet(boost::asio::ip::tcp::socket &socket) {
     char byte;
@@ -14,4 +14,4 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-} // namespace pineridge::router
+} // namespace pineridge
--- a/src/router/resp/resp.cpp
+++ b/src/net/resp/resp.cpp
@@ -1,8 +1,8 @@
-#include "router/resp/resp.hpp"
+#include "net/resp/resp.hpp"
 
 #include <charconv>
 
-namespace pineridge::router::resp {
+namespace pineridge::resp {
 
 namespace {
 
@@ -80,4 +80,4 @@
     return Scan::whole;
 }
 
-} // namespace pineridge::router::resp
+} // namespace pineridge::resp
--- a/src/router/resp/resp.hpp
+++ b/src/net/resp/resp.hpp
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pineridge::router::resp {
+namespace pineridge::resp {
 
 enum class Scan { more, whole, bad };
 enum class Kind { line, error, number, bulk, null, array };
@@ -28,4 +28,4 @@
 // called again with the same bytes and those after them.
 Scan scan(std::string_view bytes, const Bounds &bounds, Value &value);
 
-} // namespace pineridge::router::resp
+} // namespace pineridge::resp
--- a/src/router/clients/session.hpp
+++ b/src/router/clients/session.hpp
@@ -2,8 +2,8 @@
 // the commands. Knows no socket.
 #pragma once
 
-#include "router/limits.hpp"
-#include "router/resp/resp.hpp"
+#include "base/limits.hpp"
+#include "net/resp/resp.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -19,7 +19,13 @@
           [this] { module().list_failed(); }),
       stream_(io, start, log, [this](const rollout::Told &told) { take_told(told); }),
       votes_(io, start, log, [this](const News &news) { take_news(news); }), wake_(io),
-      unix_began_(std::chrono::system_clock::now()), began_(std::chrono::steady_clock::now()) {}
+      unix_began_(std::chrono::system_clock::now()), began_(std::chrono::steady_clock::now()) {
+    if (start.release)
+        office_.emplace(
+            io, *start.release, start.names.tenants, start.limits, log, start.name, start.seed,
+            [this] { return time(); },
+            [this](const release::Change &told) { module().allow(told.build, told.cell, told.share); });
+}
 
 void Driver::begin() {
     if (!start_.known.is_null()) {
@@ -33,6 +39,7 @@
 }
 
 asio::awaitable<void> Driver::serve() {
+    if (office_) office_->begin();
     stream_.begin();
     co_await hosts_.warm_up();
     clients_.listen();
@@ -49,11 +56,14 @@
     votes_.move_to(platform);
 }
 
+Ticks Driver::time() const {
+    const auto since = std::chrono::steady_clock::now() - began_;
+    return std::chrono::floor<Tick>(unix_began_.time_since_epoch() + since).count();
+}
+
 Router &Driver::module() {
     if (!std::exchange(turn_, true)) {
-        // Ticks count from the Unix epoch, so that a host's start is on the same clock; they never go back.
-        const auto since = std::chrono::steady_clock::now() - began_;
-        now_ = std::chrono::floor<Tick>(unix_began_.time_since_epoch() + since).count();
+        now_ = time();
         module_->clock(now_);
         asio::post(io_, [this] { pull(); });
     }
@@ -86,6 +96,7 @@
     case Act::vote:
         log_(Level::info, "vote ", kVerdicts[static_cast<int>(made.verdict)], " on build ", made.build,
              " stage ", made.stage);
+        if (office_) office_->judged(made.build, made.verdict);
         return votes_.cast(made.build, made.stage, made.verdict);
     case Act::watch_list: return watch_.begin();
     case Act::wake: return wake_at(made.span);
@@ -112,8 +123,11 @@
     if (!fresh) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
     Router &to = module();
     const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead).count();
+    const int cell = office_ ? office_->cell_of(asked.tenant) : -1;
+    at->second.cell = cell;
+    if (office_) office_->arrived(cell);
     to.arrived({id, asked.method, asked.tenant, std::string(asked.key),
-                now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry});
+                now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry, cell});
 }
 
 void Driver::left(const std::string &id) {
@@ -138,14 +152,17 @@
     ++rpc.under_way;
     rpc.picks.push_back(hosts_.send(
         made.host, rpc.held, made.span,
-        [this, id = made.rpc, pick, sent = now_](hosts::Ending ending) { ended(id, pick, sent, ending); }));
+        [this, id = made.rpc, pick, build = hosts_.build_of(made.host), sent = now_](hosts::Ending ending) {
+            ended(id, pick, build, sent, ending);
+        }));
 }
 
-void Driver::ended(const std::string &id, int pick, Ticks sent, const hosts::Ending &ending) {
+void Driver::ended(const std::string &id, int pick, int build, Ticks sent, const hosts::Ending &ending) {
     Router &to = module();
     Rpc &rpc = rpcs_.at(id);
     rpc.picks.at(pick).reset();
     --rpc.under_way;
+    if (office_) office_->ended(build, rpc.cell, ending.outcome);
     if (ending.outcome == Outcome::ok) answer(rpc, ending.value);
     to.ended(id, pick, ending.outcome, now_ - sent, rpc.finished, ending.report);
     log_(Level::debug, "ended ", id, " pick ", pick, " outcome ", static_cast<int>(ending.outcome), " after ",
@@ -194,6 +211,7 @@
         news.age = age;
     }
     if (news.valid) known_ = news, known_.answers_vote = false, known_at_ = now_;
+    if (news.valid && office_) office_->news(news);
     to.news(news);
 }
 
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -1,6 +1,7 @@
 // Owns the module: what peers tell becomes calls on it, and its decisions become messages. One thread.
 #pragma once
 
+#include "release/office.hpp"
 #include "router/clients/clients.hpp"
 #include "router/hosts/hosts.hpp"
 #include "router/list/watch.hpp"
@@ -27,6 +28,7 @@
         std::shared_ptr<const clients::Held> held;
         bool finished = false; // answered, or its client has left
         std::size_t under_way = 0;
+        int cell = -1;
         std::vector<std::shared_ptr<hosts::Call>> picks{};
     };
 
@@ -40,7 +42,8 @@
     void pull();
     void carry_out(const Decision &decision);
     void send(const Decision &decision);
-    void ended(const std::string &id, int pick, Ticks sent, const hosts::Ending &ending);
+    void ended(const std::string &id, int pick, int build, Ticks sent, const hosts::Ending &ending);
+    Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
     void answer(Rpc &rpc, std::string bytes);
     void forget_if_over(const std::string &id);
     void take_list(const list::Listing &listing);
@@ -54,6 +57,7 @@
     const Start &start_;
     const Log &log_;
     std::unique_ptr<Router> module_;
+    std::optional<release::Office> office_; // where releases go by cell
     std::unordered_map<std::string, Rpc> rpcs_;
     hosts::Hosts hosts_;
     clients::Clients clients_;
--- a/src/router/hosts/exchange.hpp
+++ b/src/router/hosts/exchange.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "logic.hpp"
-#include "router/limits.hpp"
-#include "router/resp/resp.hpp"
+#include "base/limits.hpp"
+#include "net/resp/resp.hpp"
 
 #include <optional>
 #include <string>
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -1,6 +1,6 @@
 #include "router/hosts/hosts.hpp"
-#include "router/fuse.hpp"
-#include "router/quiet.hpp"
+#include "net/fuse.hpp"
+#include "net/quiet.hpp"
 
 #include <algorithm>
 #include <unordered_set>
@@ -167,6 +167,11 @@
     wake_waiting(place);
 }
 
+int Hosts::build_of(const std::string &id) const {
+    const auto at = places_.find(id);
+    return at == places_.end() ? -1 : at->second.build;
+}
+
 void Hosts::remove(const std::string &id) {
     const auto at = places_.find(id);
     if (at == places_.end()) return;
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -38,6 +38,7 @@
     void sweep();
     void free_idle(std::size_t most); // closes idle connections beyond so many
     std::size_t open() const { return open_; }
+    int build_of(const std::string &id) const; // below 0: not listed
 
   private:
     friend class Call;
--- a/src/router/hosts/trust.hpp
+++ b/src/router/hosts/trust.hpp
@@ -2,7 +2,7 @@
 // ended. Knows no socket.
 #pragma once
 
-#include "router/limits.hpp"
+#include "base/limits.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/router/list/watch.hpp
+++ b/src/router/list/watch.hpp
@@ -1,7 +1,7 @@
 // The driver of the watch on discovery: each call is followed by the next at once, on a kept connection.
 #pragma once
 
-#include "router/http/link.hpp"
+#include "net/http/link.hpp"
 #include "router/list/listing.hpp"
 
 #include <functional>
--- a/src/router/rollout/stream.hpp
+++ b/src/router/rollout/stream.hpp
@@ -1,7 +1,7 @@
 // The driver of the platform's stream: connects again whenever it ends or falls silent.
 #pragma once
 
-#include "router/http/link.hpp"
+#include "net/http/lines.hpp"
 #include "router/rollout/news.hpp"
 
 #include <functional>
@@ -15,15 +15,13 @@
   public:
     Stream(asio::io_context &io, const Start &start, const Log &log, std::function<void(const Told &)> told)
         : io_(io), start_(start), log_(log), told_(std::move(told)), chance_(start.seed),
-          address_(start.platform), socket_(io), timer_(io) {}
+          address_(start.platform), lines_(io, start.limits, log, "stream"), timer_(io) {}
 
     void begin() { asio::co_spawn(io_, run(), asio::detached); }
     void move_to(const Address &address); // connects there at once
 
   private:
     asio::awaitable<void> run();
-    asio::awaitable<bool> follow(); // true if it told anything
-    bool take_lines(std::string &unread); // false: one cannot be read
 
     asio::io_context &io_;
     const Start &start_;
@@ -31,7 +29,7 @@
     std::function<void(const Told &)> told_;
     std::minstd_rand chance_;
     Address address_;
-    asio::ip::tcp::socket socket_;
+    http::Lines lines_;
     asio::steady_timer timer_; // the pause before the next connection
     bool moved_ = false;
 };
--- a/src/router/rollout/votes.hpp
+++ b/src/router/rollout/votes.hpp
@@ -1,7 +1,7 @@
 // The driver of votes: one call at a time on a connection of its own; of those waiting the newest counts.
 #pragma once
 
-#include "router/http/link.hpp"
+#include "net/http/link.hpp"
 #include "router/rollout/news.hpp"
 
 #include <functional>
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -63,19 +63,6 @@
 
 } // namespace
 
-Address read_address(const std::string &text, const char *key) {
-    const std::size_t colon = text.rfind(':');
-    unsigned port = 0;
-    if (colon == std::string::npos) wrong(key, "not an address and a port");
-    const char *end = text.data() + text.size();
-    const auto read = std::from_chars(text.data() + colon + 1, end, port);
-    if (read.ec != std::errc{} || read.ptr != end || port == 0 || port > 65535) wrong(key, "a bad port");
-    boost::system::error_code failed;
-    const auto host = boost::asio::ip::make_address(text.substr(0, colon), failed);
-    if (failed) wrong(key, "a bad address");
-    return {host, static_cast<std::uint16_t>(port)};
-}
-
 int place_of(const std::vector<std::string> &names, const std::string &name, const char *field) {
     const auto at = std::find(names.begin(), names.end(), name);
     if (at == names.end()) wrong(field, "a name that the settings do not hold");
@@ -105,6 +92,21 @@
     return start;
 }
 
+void check_fits(const Start &start, const Scheme &scheme) {
+    if (!scheme.desk.empty()) read_address(scheme.desk, "release.desk.address");
+    const auto &tenants = start.names.tenants;
+    for (const Part &customer : scheme.customers)
+        if (std::find(tenants.begin(), tenants.end(), customer.name) == tenants.end())
+            wrong("release.customers", ("not among the configuration's tenants: " + customer.name).c_str());
+}
+
+void take_wishes(Start &start, const Wishes &wishes) {
+    start.release = wishes.release;
+    if (!start.release) return;
+    check_fits(start, *start.release);
+    start.terms.cell_share = 0; // a trial of which the plan has told nothing is in its first stage
+}
+
 Start read_start_file(const std::string &path, const Environment &environment) {
     std::ifstream file(path);
     if (!file) wrong(path, "cannot be opened");
--- a/src/router/start.hpp
+++ b/src/router/start.hpp
@@ -1,19 +1,17 @@
 // What a router is told at its start: the one place where configuration is read, checked and given defaults.
 #pragma once
 
-#include "router/limits.hpp"
-#include "router/log.hpp"
+#include "base/address.hpp"
+#include "base/limits.hpp"
+#include "base/log.hpp"
+#include "settings/read.hpp"
 #include "terms/terms.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <functional>
 #include <string>
 
 namespace pineridge::router {
 
-using Address = boost::asio::ip::tcp::endpoint;
-
 // The settings' names, whose places the module counts by.
 struct Names {
     std::vector<std::string> methods, tenants, zones, kinds, report_fields;
@@ -29,6 +27,7 @@
     Names names;
     json news; // the platform's newest, in its own form
     json known; // the list as last had, in discovery's form
+    std::optional<Scheme> release{}; // staged releases by cell; none: one cell for all, as the platform tells
 };
 
 using Environment = std::function<const char *(const char *)>;
@@ -37,7 +36,9 @@
 Start read_start(const json &from, const Environment &environment);
 Start read_start_file(const std::string &path, const Environment &environment);
 
-Address read_address(const std::string &text, const char *key);
+// Puts our own settings beside what the platform tells; throws BadInput where they do not fit.
+void take_wishes(Start &start, const Wishes &wishes);
+void check_fits(const Start &start, const Scheme &scheme);
 
 // Where a name stands among those told; throws BadInput for the field.
 int place_of(const std::vector<std::string> &names, const std::string &name, const char *field);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -18,10 +18,6 @@
 
 namespace pineridge {
 
-inline bool proves_unrun(Outcome end) {
-    return end == Outcome::no_room || end == Outcome::no_route || end == Outcome::stale;
-}
-
 inline bool diverges(Outcome end) {
     return end == Outcome::fault || end == Outcome::too_slow || end == Outcome::cut;
 }
@@ -111,6 +107,23 @@
     Count tried{}; // own picks of it, failed: not taken by their hosts
 };
 
+// What the release plan allows a build of each cell's RPCs, and elsewhere.
+struct Allowed {
+    double rest = 0;
+    std::unordered_map<int, double> by_cell{};
+};
+
+// A cell's RPCs taken and its picks by build, within the exposure window.
+struct Flow {
+    int taken = 0;
+    std::map<int, int> picked{};
+};
+struct Passed { // one of them, by when it leaves the window
+    Ticks until;
+    int cell;
+    int build; // a pick's; below 0: an RPC taken
+};
+
 struct Evidence {
     Count all, stage, before; // before: the earlier build's
     std::vector<Count> by_method;
@@ -169,6 +182,9 @@
     std::vector<int> usual_count;
     std::map<int, double> kind_excess;
     std::vector<std::deque<Ticks>> taken; // by method: arrivals within the exposure window
+    std::map<int, Allowed> allowed; // by build
+    std::unordered_map<int, Flow> flows; // by cell
+    std::deque<Passed> passed[2]; // RPCs taken; picks
     std::vector<double> tokens; // by tenant: RPCs left within its quota
     Ticks tokens_at = 0;
     double budget = 0;
@@ -265,6 +281,7 @@
         taken.at(from.method).push_back(now);
         arrivals += !from.retry;
         ++earned;
+        if (terms.cell_share < 1) note_flow(from.cell, -1);
         Rpc rpc{std::move(from), 0};
         rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
         rpc.over_share = !within_quota(rpc.from.tenant);
@@ -274,6 +291,48 @@
         enqueue(rpcs.insert_or_assign(id, std::move(rpc)).first->second);
     }
 
+    void allow(int build, int cell, double share) override {
+        if (cell < 0)
+            allowed[build] = {share, {}};
+        else
+            allowed[build].by_cell[cell] = share;
+    }
+
+    double share_in_cell(int build, int cell) const {
+        const auto told = allowed.find(build);
+        if (told == allowed.end()) return on_trial(build) ? terms.cell_share : 1;
+        const auto at = told->second.by_cell.find(cell);
+        return at == told->second.by_cell.end() ? told->second.rest : at->second;
+    }
+
+    // An RPC taken or, where a build is named, a pick sent. As the rule counts, picks stay a moment longer.
+    void note_flow(int cell, int build) {
+        Flow &flow = flows[cell];
+        ++(build < 0 ? flow.taken : flow.picked[build]);
+        passed[build >= 0].push_back({now + terms.rollout.window + (build < 0 ? -1 : 1), cell, build});
+    }
+
+    // RPCs of a cell taken and picks of them sent to a build within the window.
+    std::pair<double, double> cell_exposure(int build, int cell) {
+        forget_flows();
+        const auto flow = flows.find(cell);
+        if (flow == flows.end()) return {0, 0};
+        const auto picks = flow->second.picked.find(build);
+        return {flow->second.taken, picks == flow->second.picked.end() ? 0 : picks->second};
+    }
+
+    void forget_flows() {
+        for (std::deque<Passed> &of : passed)
+            for (; !of.empty() && of.front().until < now; of.pop_front()) {
+                const Passed &gone = of.front();
+                const auto at = flows.find(gone.cell);
+                Flow &flow = at->second;
+                if (gone.build < 0) --flow.taken;
+                if (gone.build >= 0 && --flow.picked[gone.build] == 0) flow.picked.erase(gone.build);
+                if (flow.taken == 0 && flow.picked.empty()) flows.erase(at);
+            }
+    }
+
     void news(const News &told) override {
         if (told.answers_vote) vote_counts = told.valid;
         if (!told.valid) return;
--- a/src/terms/fields.hpp
+++ b/src/terms/fields.hpp
@@ -1,12 +1,12 @@
 // Reads fields of JSON objects; a complaint names the field.
 #pragma once
 
+#include "base/bad_input.hpp"
 #include "logic.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <initializer_list>
-#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,10 +15,6 @@
 
 using nlohmann::json;
 
-struct BadInput : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 [[noreturn]] void wrong(const std::string &field, const char *what);
 const json &need(const json &from, const char *field);
 bool has(const json &from, const char *field);
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -3,7 +3,7 @@
 #include "router/clients/session.hpp"
 #include "router/hosts/exchange.hpp"
 #include "router/hosts/trust.hpp"
-#include "router/http/http.hpp"
+#include "net/http/http.hpp"
 
 #include <cassert>
 #include <functional>
--- a/tests/telling_test.cpp
+++ b/tests/telling_test.cpp
@@ -2,7 +2,7 @@
 #undef NDEBUG
 #include "router/clients/request.hpp"
 #include "router/list/listing.hpp"
-#include "router/resp/resp.hpp"
+#include "net/resp/resp.hpp"
 #include "router/rollout/news.hpp"
 
 #include <cassert>
