--- a/src/release/desk.cpp
+++ b/src/release/desk.cpp
@@ -85,11 +85,10 @@
             co_await opinions_.call("POST", "/release/v1/opinions", opinion, limits_.desk_answer, false, answer);
         // Whether one without an answer counted is not known: the desk's words tell, and it may be given again.
         if (got != http::Call::answered || answer.status() != 200)
-            log_.event(Level::info, "desk.opinion", {{"sent", opinion},
-                                                     {"counted", got == http::Call::unsent     ? "no"
-                                                                 : got == http::Call::unclear ? "unknown"
-                                                                                              : "no"},
-                                                     {"status", answer.status()}});
+            log_.event(got == http::Call::unclear ? Level::info : Level::debug, "desk.opinion",
+                       {{"sent", opinion},
+                        {"counted", got == http::Call::unclear ? "unknown" : "no"},
+                        {"status", answer.status()}});
     }
     sending_ = false;
 }
--- a/src/release/plan.cpp
+++ b/src/release/plan.cpp
@@ -179,7 +179,7 @@
 }
 
 void Plan::snapshot(const Snapshot &told) {
-    if (synced_ && told.rev < rev_) {
+    if (synced_ && (told.rev < rev_ || (behind_ && told.rev == rev_))) {
         // A desk that has forgotten words: stops steps forward that a restart of the desk would undo unseen.
         if (!std::exchange(behind_, true))
             line("desk.behind", {{"rev", std::to_string(rev_)}, {"told", std::to_string(told.rev)}});
@@ -516,7 +516,7 @@
     } else {
         changed(build, cell);
     }
-    if (!quiet_)
+    if (!quiet_ || in_own_zone(cell))
         line("release.stage", {{"build", build.name.text()},
                                {"zone", scheme_.zones[scheme_.zone_of(cell)].name},
                                {"customer", scheme_.customers[scheme_.customer_of(cell)].name},
--- a/src/release/plan.hpp
+++ b/src/release/plan.hpp
@@ -123,7 +123,7 @@
     Ticks now_ = 0;
     std::int64_t rev_ = 0;
     bool synced_ = false, linked_ = false, behind_ = false, gap_ = false;
-    bool quiet_ = false; // lines of many cells at once are left out
+    bool quiet_ = false; // lines of other zones' cells are left out: many move at once
     Freezes freezes_;
     std::map<BuildName, Build> builds_;
     std::vector<Burden> burdens_;
--- a/src/settings/scheme.hpp
+++ b/src/settings/scheme.hpp
@@ -34,7 +34,7 @@
 
 // No step forward from `from` until `to` in what it covers; an empty name covers all.
 struct Freeze {
-    std::string id, zone, customer, service;
+    std::string id{}, zone{}, customer{}, service{};
     Ticks from = 0, to = kNever;
 };
 
--- /dev/null
+++ b/standins/clients/clients.hpp
@@ -0,0 +1,50 @@
+// Stand-in clients of a router on loopback: each RPC goes out when told, on an idle connection or a new one, and its
+// final answer is written down. Nothing is asked again.
+#pragma once
+
+#include <boost/asio.hpp>
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pineridge::standins {
+
+namespace asio = boost::asio;
+
+struct Asked {
+    std::int64_t at = 0; // ms since the Unix epoch, when its last byte was written
+    std::string rpc, customer, method;
+    std::string answer{}; // empty: none yet; "lost": the connection ended without one
+    int build = 0; // that served it
+};
+
+class Clients {
+  public:
+    using Now = std::function<std::int64_t()>;
+    Clients(asio::io_context &io, asio::ip::tcp::endpoint router, Now now)
+        : io_(io), router_(router), now_(std::move(now)) {}
+
+    // One RPC; methods whose name begins with "do" go as Q.DO, others as Q.ASK.
+    void ask(const std::string &customer, const std::string &method, const std::string &key, int patience_ms = 1000);
+    asio::awaitable<bool> ready(); // has the router answered PING?
+
+    const std::deque<Asked> &asked() const { return asked_; }
+    int open() const { return open_; } // RPCs without an answer
+
+  private:
+    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+    asio::awaitable<void> run(std::size_t at, std::string command);
+
+    asio::io_context &io_;
+    asio::ip::tcp::endpoint router_;
+    Now now_;
+    std::deque<Asked> asked_;
+    std::vector<Socket> idle_;
+    int open_ = 0;
+};
+
+} // namespace pineridge::standins
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,82 @@
+// Our own settings: what is read, and that faults name file, line and key.
+#undef NDEBUG
+#include "settings/read.hpp"
+
+#include <cassert>
+
+using namespace pineridge;
+
+namespace {
+
+const std::string kGood = R"(<pineridge xmlns="urn:pineridge:settings:1">
+<release service="booking" zone="a" cap="0.9">
+<zones><zone name="a" cap="0.5"/><zone name="b"/></zones>
+<customers><customer name="x" share="2"/></customers>
+<stages><stage share="0.1"/><stage share="1"/></stages>
+<order by="canary" follow="1"><canary zone="b" customer="x"/></order>
+<freezes settle-s="1.5"><freeze id="f" zone="b" from="2026-12-24T18:00:00+01:00" to="2026-12-24T17:30:00Z"/></freezes>
+<dependencies hold-s="3"><needs service="booking" build="2" on-service="donor" on-build="1" stage="match"/></dependencies>
+</release>
+</pineridge>)";
+
+std::string fault(const std::string &from, const std::string &to) {
+    std::string text = kGood;
+    const std::size_t at = text.find(from);
+    assert(at != std::string::npos);
+    text.replace(at, from.size(), to);
+    try {
+        read_wishes(text, "f.xml");
+    } catch (const BadInput &bad) {
+        return bad.what();
+    }
+    return "";
+}
+
+void all_is_read() {
+    const Scheme scheme = *read_wishes(kGood, "f.xml").release;
+    assert(scheme.cells() == 2 && scheme.cap == 0.9 && scheme.zones[0].cap == 0.5 && scheme.zones[1].cap == 1);
+    assert((scheme.stages == std::vector<double>{0, 0.1, 1}) && scheme.follow == 1 && scheme.customers[0].share == 2);
+    assert(scheme.order == Order::canary && scheme.canaries == std::vector<int>{1});
+    assert(scheme.freezes[0].from == 17981316000000 && scheme.freezes[0].to - scheme.freezes[0].from == 18000000);
+    assert(scheme.settle == 15000 && scheme.hold == 30000 && scheme.step == 10000 && scheme.evidence == 20);
+    assert(scheme.needs[0].stage == Need::kMatch && scheme.needs[0].on.text() == "donor/1");
+    assert(!read_wishes(R"(<pineridge xmlns="urn:pineridge:settings:1"/>)", "f.xml").release);
+}
+
+void faults_name_file_line_and_key() {
+    const auto says = [](const std::string &text, const std::string &place, const std::string &part) {
+        return text.rfind(place, 0) == 0 && text.find(part) != std::string::npos;
+    };
+    assert(says(fault("<release service", "<release servce"), "f.xml:2: ", "'servce'"));
+    assert(says(fault("cap=\"0.5\"", "cap=\"1.5\""), "f.xml:3: ", "'cap'"));
+    assert(says(fault("<zone name=\"b\"/>", "<zone name=\"a\"/>"), "f.xml:3: ", "zone.name: twice: a"));
+    assert(says(fault("share=\"0.1\"", "shares=\"0.1\""), "f.xml:5: ", "'shares'"));
+    assert(says(fault("<stage share=\"1\"/>", "<stage share=\"0.1\"/>"), "f.xml:5: ", "stage.share"));
+    assert(says(fault("zone=\"b\" customer", "zone=\"c\" customer"), "f.xml:6: ", "canary.zone: unknown: c"));
+    assert(says(fault("follow=\"1\"", "follow=\"3\""), "f.xml:6: ", "order.follow"));
+    assert(says(fault("+01:00", ""), "f.xml:7: ", "no time zone offset"));
+    assert(says(fault("17:30:00Z", "16:30:00Z"), "f.xml:7: ", "freeze.to: not after from"));
+    assert(says(fault("on-service=\"donor\" on-build=\"1\"", "on-service=\"booking\" on-build=\"2\""), "f.xml:8: ",
+                "needs itself: booking/2 -> booking/2"));
+    assert(says(fault("zone=\"a\" cap=\"0.9\"", "zone=\"q\" cap=\"0.9\""), "f.xml:2: ", "release.zone: unknown: q"));
+    assert(says(fault("</pineridge>", ""), "f.xml:", ""));
+}
+
+// An entity that names a file is not read.
+void no_file_is_read_by_the_way() {
+    try {
+        read_wishes("<!DOCTYPE p [<!ENTITY e SYSTEM \"file:///etc/hostname\">]><pineridge "
+                    "xmlns=\"urn:pineridge:settings:1\">&e;</pineridge>",
+                    "f.xml");
+        assert(false);
+    } catch (const BadInput &) {
+    }
+}
+
+} // namespace
+
+int main() {
+    all_is_read();
+    faults_name_file_line_and_key();
+    no_file_is_read_by_the_way();
+}
