--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -21,7 +21,7 @@
         if (config->empty() && settings->empty()) throw BadInput("--config or --settings: one is needed");
         std::optional<Wishes> wishes;
         if (!settings->empty()) {
-            wishes = read_wishes_file(asked->settings);
+            wishes = load_wishes_file(asked->settings);
             std::cout << "sound: " << asked->settings;
             if (const auto &scheme = wishes->release)
                 std::cout << ", cells " << scheme->cells() << ", stages " << scheme->stages.size() - 1
--- a/src/cli/release.cpp
+++ b/src/cli/release.cpp
@@ -23,7 +23,7 @@
 };
 
 Scheme scheme_of(const Asked &asked) {
-    const Wishes wishes = read_wishes_file(asked.settings);
+    const Wishes wishes = load_wishes_file(asked.settings);
     if (!wishes.release) throw BadInput(asked.settings + ": release: missing");
     return *wishes.release;
 }
