Registry view, an etcd v3 source fed bytes, and a registry on grpc++ to try it against

Need: the router's list knows one service with one long poll; a registry that compacts, goes quiet, lags or loses its data would go unnoticed.

Change: src/membership holds the view (revisions, reads under way, doubt, lag, data lost; no I/O), the choice of endpoints, and a follower of the etcd v3 API: own .proto with the published numbers, protobuf lite, nghttp2 fed bytes in src/net/http2. standins/registry speaks the same on grpc++. Not in the daemon yet.

--- /dev/null
+++ b/src/membership/etcd/follower.hpp
@@ -0,0 +1,68 @@
+// Follows a prefix of an etcd v3 registry, fed bytes and told the time; knows no socket. One connection:
+// whole reads in pages of one revision, a watch from behind it, progress asked for, now and then a look
+// whether the watch has missed anything. What it learns goes to a view, which says what is next. Protocol:
+// etcd's v3 API over gRPC.
+#pragma once
+
+#include "membership/etcd/rpc.pb.h"
+#include "membership/value.hpp"
+#include "membership/view.hpp"
+#include "net/http2/session.hpp"
+
+namespace pineridge::membership::etcd {
+
+struct Times { // ticks
+    Ticks answer = 20000; // for a page, or for the watch to stand
+    Ticks progress = 10000; // between asking for progress
+    Ticks quiet = 25000; // without a word after that: the watch is dead although open
+    Ticks audit = 100000; // between looks whether anything was missed
+};
+
+class Follower {
+  public:
+    // The view outlives the follower: there is one follower a connection. `read` makes a host of a value.
+    Follower(View &view, ReadValue read, std::string prefix, std::string authority, std::string token,
+             Times times, std::size_t page = 500);
+
+    void begin(Ticks now); // the connection stands
+    bool feed(std::string_view bytes, Ticks now); // false: the connection is of no further use
+    void clock(Ticks now); // a bounded time may have passed: see `dead`
+    std::string output() { return session_.output(); }
+    bool dead() const { return !why_.empty(); }
+    const std::string &why() const { return why_; }
+    Ticks wake() const { return due_; }
+    std::uint64_t cluster() const { return cluster_; }
+
+  private:
+    enum class Doing { nothing, reading, opening, watching };
+
+    void go_on(); // what the view asks for next
+    void read_page(const std::string &from);
+    void open_watch();
+    void take(const http2::Event &event);
+    void take_page(const std::string &bytes);
+    void take_watch(const std::string &bytes);
+    void take_audit(const std::string &bytes);
+    void ask_progress();
+    void audit();
+    void fail(const std::string &why);
+    Record record_of(const etcdserverpb::KeyValue &pair, bool gone) const;
+
+    View &view_;
+    const ReadValue read_;
+    const std::string prefix_, end_, authority_, token_;
+    const Times times_;
+    const std::size_t page_;
+    http2::Session session_;
+    Doing doing_ = Doing::nothing;
+    std::int32_t page_call_ = -1, watch_call_ = -1, audit_call_ = -1;
+    std::int64_t read_rev_ = 0; // of the read under way
+    std::int64_t created_ = 0; // the watch covers what came after this
+    std::vector<etcdserverpb::Event> fragments_;
+    Ticks now_ = 0, due_ = 0, heard_at_ = 0, progress_at_ = 0, audit_at_ = 0;
+    std::uint64_t cluster_ = 0;
+    std::int64_t audit_rev_ = 0;
+    std::string why_;
+};
+
+} // namespace pineridge::membership::etcd
--- /dev/null
+++ b/src/membership/member.hpp
@@ -0,0 +1,34 @@
+// What a registry holds of hosts, as read. Plain data.
+#pragma once
+
+#include "base/address.hpp"
+#include "logic.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pineridge::membership {
+
+struct Member {
+    HostEntry entry;
+    Address address; // unset where the host is gone
+};
+
+// One key as a registry tells it: `rev` is the revision at which it was last written.
+struct Record {
+    std::string key;
+    std::int64_t rev = 0;
+    bool gone = false; // the key was taken away, or its lease ran out
+    std::optional<Member> member{}; // none: its value cannot be read
+    std::string fault{}; // then: why
+};
+
+// The list as the module wants it.
+struct Listing {
+    bool whole = false;
+    std::vector<Member> members{};
+};
+
+} // namespace pineridge::membership
--- /dev/null
+++ b/src/membership/value.cpp
@@ -0,0 +1,17 @@
+#include "membership/value.hpp"
+
+namespace pineridge::membership {
+
+Record make_record(const ReadValue &read, std::string key, std::int64_t rev, std::string_view value) {
+    Record record;
+    record.key = std::move(key);
+    record.rev = rev;
+    try {
+        record.member = read(record.key, value);
+    } catch (const std::exception &bad) {
+        record.fault = bad.what();
+    }
+    return record;
+}
+
+} // namespace pineridge::membership
--- /dev/null
+++ b/standins/registry/registry.cpp
@@ -0,0 +1,277 @@
+#include "standins/registry/registry.hpp"
+
+#include "membership/etcd/rpc.grpc.pb.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace pineridge::standins {
+
+namespace pb = etcdserverpb;
+
+struct Registry::State final : pb::KV::Service, pb::Watch::Service {
+    using Pairs = std::map<std::string, pb::KeyValue>;
+
+    mutable std::mutex lock;
+    std::condition_variable changed;
+    std::int64_t rev = 1, compacted = 0, behind = 0;
+    std::vector<Word> log;
+    std::set<std::int64_t> untold; // revisions passed over
+    int pass_over = 0;
+    bool muted = false;
+    std::size_t piece = 0;
+    int break_after = -1;
+    std::uint64_t drops = 0;
+    std::function<void()> on_page;
+    int reads = 0, watches = 0;
+    std::unique_ptr<grpc::Server> server;
+    int port = 0;
+
+    Pairs at(std::int64_t when) const {
+        Pairs pairs;
+        for (const Word &word : log) {
+            if (word.rev > when) break;
+            if (word.gone) {
+                pairs.erase(word.key);
+                continue;
+            }
+            pb::KeyValue &pair = pairs[word.key];
+            if (pair.create_revision() == 0) pair.set_create_revision(word.rev);
+            pair.set_key(word.key);
+            pair.set_value(word.value);
+            pair.set_mod_revision(word.rev);
+            pair.set_version(pair.version() + 1);
+        }
+        return pairs;
+    }
+
+    void write(std::vector<Word> words) {
+        const std::lock_guard hold(lock);
+        ++rev;
+        for (Word &word : words) word.rev = rev, log.push_back(word);
+        if (pass_over > 0) --pass_over, untold.insert(rev);
+        changed.notify_all();
+    }
+
+    grpc::Status Range(grpc::ServerContext *, const pb::RangeRequest *asked,
+                       pb::RangeResponse *answer) override {
+        std::function<void()> act;
+        {
+            const std::lock_guard hold(lock);
+            if (asked->revision() > 0 && asked->limit() != 1) act = on_page;
+        }
+        if (act) act();
+        const std::lock_guard hold(lock);
+        ++reads;
+        const std::int64_t stands = rev - behind;
+        const std::int64_t when = asked->revision() > 0 ? asked->revision() : stands;
+        if (when < compacted)
+            return {grpc::StatusCode::OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"};
+        answer->mutable_header()->set_cluster_id(7);
+        answer->mutable_header()->set_revision(stands);
+        std::vector<pb::KeyValue> found;
+        for (auto &[key, pair] : at(when))
+            if (key >= asked->key() && key < asked->range_end()) found.push_back(pair);
+        answer->set_count(static_cast<std::int64_t>(found.size()));
+        if (asked->sort_target() == pb::RangeRequest::MOD)
+            std::sort(found.begin(), found.end(),
+                      [](const auto &a, const auto &b) { return a.mod_revision() > b.mod_revision(); });
+        const auto most = asked->limit() > 0 ? static_cast<std::size_t>(asked->limit()) : found.size();
+        answer->set_more(found.size() > most);
+        for (std::size_t i = 0; i < std::min(most, found.size()); ++i) *answer->add_kvs() = found[i];
+        return grpc::Status::OK;
+    }
+
+    using Stream = grpc::ServerReaderWriter<pb::WatchResponse, pb::WatchRequest>;
+
+    grpc::Status Watch(grpc::ServerContext *context, Stream *stream) override {
+        pb::WatchRequest first;
+        if (!stream->Read(&first)) return grpc::Status::OK;
+        const pb::WatchCreateRequest create = first.create_request();
+        std::int64_t from = create.start_revision();
+        bool over = false, progress = false;
+        std::uint64_t mine = 0;
+        {
+            const std::lock_guard hold(lock);
+            ++watches;
+            mine = drops;
+            pb::WatchResponse created;
+            created.mutable_header()->set_revision(rev - behind);
+            created.set_created(true);
+            stream->Write(created);
+            if (from <= compacted) {
+                pb::WatchResponse refused;
+                refused.mutable_header()->set_revision(rev);
+                refused.set_canceled(true);
+                refused.set_compact_revision(compacted);
+                stream->Write(refused);
+                return grpc::Status::OK;
+            }
+        }
+        std::thread reader([&] {
+            pb::WatchRequest next;
+            while (stream->Read(&next)) {
+                const std::lock_guard hold(lock);
+                progress = progress || next.has_progress_request();
+                changed.notify_all();
+            }
+            const std::lock_guard hold(lock);
+            over = true;
+            changed.notify_all();
+        });
+        tell(context, stream, create, from, over, progress, mine);
+        context->TryCancel();
+        reader.join();
+        return grpc::Status::CANCELLED;
+    }
+
+    void tell(grpc::ServerContext *context, Stream *stream, const pb::WatchCreateRequest &create,
+              std::int64_t from, const bool &over, bool &progress, std::uint64_t mine) {
+        std::unique_lock hold(lock);
+        for (;;) {
+            const auto due = [&] {
+                return over || drops != mine ||
+                       (!muted && (progress || (!log.empty() && log.back().rev >= from)));
+            };
+            changed.wait_for(hold, std::chrono::milliseconds(200), due);
+            if (over || drops != mine || context->IsCancelled()) return;
+            if (muted) continue;
+            std::vector<pb::Event> events;
+            std::int64_t until = from;
+            for (const Word &word : log) {
+                if (word.rev < from) continue;
+                until = word.rev + 1;
+                if (word.key < create.key() || word.key >= create.range_end() || untold.count(word.rev))
+                    continue;
+                pb::Event &event = events.emplace_back();
+                event.set_type(word.gone ? pb::Event::DELETE : pb::Event::PUT);
+                event.mutable_kv()->set_key(word.key);
+                event.mutable_kv()->set_value(word.value);
+                event.mutable_kv()->set_mod_revision(word.rev);
+            }
+            const bool progressed = std::exchange(progress, false);
+            const std::int64_t stands = rev;
+            const std::size_t most = piece > 0 ? piece : std::max<std::size_t>(1, events.size());
+            int pieces = break_after;
+            hold.unlock();
+            for (std::size_t at = 0; at < events.size(); at += most) {
+                pb::WatchResponse told;
+                told.mutable_header()->set_revision(stands);
+                for (std::size_t i = at; i < std::min(events.size(), at + most); ++i)
+                    *told.add_events() = events[i];
+                told.set_fragment(at + most < events.size());
+                if (!stream->Write(told)) break;
+                if (pieces >= 0 && --pieces < 0) {
+                    hold.lock();
+                    break_after = -1;
+                    return;
+                }
+            }
+            if (progressed) {
+                pb::WatchResponse told;
+                told.mutable_header()->set_revision(stands);
+                stream->Write(told);
+            }
+            hold.lock();
+            from = until;
+        }
+    }
+
+    void start() {
+        grpc::ServerBuilder builder;
+        int chosen = 0;
+        builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(),
+                                 &chosen);
+        builder.RegisterService(static_cast<pb::KV::Service *>(this));
+        builder.RegisterService(static_cast<pb::Watch::Service *>(this));
+        server = builder.BuildAndStart();
+        if (server) port = chosen;
+    }
+    void stop() {
+        {
+            const std::lock_guard hold(lock);
+            ++drops;
+            changed.notify_all();
+        }
+        if (server) server->Shutdown(std::chrono::system_clock::now());
+        server.reset();
+    }
+};
+
+Registry::Registry() : state_(std::make_unique<State>()) { state_->start(); }
+Registry::~Registry() { state_->stop(); }
+
+std::string Registry::address() const { return "127.0.0.1:" + std::to_string(state_->port); }
+
+std::int64_t Registry::put(const std::string &key, const std::string &value) {
+    state_->write({{0, key, value, false}});
+    return revision();
+}
+std::int64_t Registry::remove(const std::string &key) {
+    state_->write({{0, key, "", true}});
+    return revision();
+}
+void Registry::write(const std::vector<Word> &words) { state_->write(words); }
+std::int64_t Registry::revision() const {
+    const std::lock_guard hold(state_->lock);
+    return state_->rev;
+}
+std::map<std::string, std::string> Registry::held() const {
+    const std::lock_guard hold(state_->lock);
+    std::map<std::string, std::string> all;
+    for (const auto &[key, pair] : state_->at(state_->rev)) all[key] = pair.value();
+    return all;
+}
+void Registry::compact(std::int64_t rev) {
+    const std::lock_guard hold(state_->lock);
+    state_->compacted = rev;
+}
+void Registry::drop() {
+    const std::lock_guard hold(state_->lock);
+    ++state_->drops;
+    state_->changed.notify_all();
+}
+void Registry::stop() { state_->stop(); }
+void Registry::start() { state_->start(); }
+void Registry::mute(bool on) {
+    const std::lock_guard hold(state_->lock);
+    state_->muted = on;
+    state_->changed.notify_all();
+}
+void Registry::pass_over(int words) {
+    const std::lock_guard hold(state_->lock);
+    state_->pass_over = words;
+}
+void Registry::fragment(std::size_t events, int break_after) {
+    const std::lock_guard hold(state_->lock);
+    state_->piece = events;
+    state_->break_after = break_after;
+}
+void Registry::lag(std::int64_t revisions) {
+    const std::lock_guard hold(state_->lock);
+    state_->behind = revisions;
+}
+void Registry::forget() {
+    const std::lock_guard hold(state_->lock);
+    state_->log.clear();
+    state_->rev = 1;
+    state_->compacted = 0;
+}
+void Registry::on_page(std::function<void()> act) {
+    const std::lock_guard hold(state_->lock);
+    state_->on_page = std::move(act);
+}
+int Registry::reads() const {
+    const std::lock_guard hold(state_->lock);
+    return state_->reads;
+}
+int Registry::watches() const {
+    const std::lock_guard hold(state_->lock);
+    return state_->watches;
+}
+
+} // namespace pineridge::standins
--- /dev/null
+++ b/tests/membership/list_value.hpp
@@ -0,0 +1,20 @@
+// A registry's values in the tests of membership: the id is the key's last part.
+#pragma once
+
+#include "membership/value.hpp"
+#include "terms/fields.hpp"
+
+namespace pineridge::membership {
+
+inline Member read_value(const std::string &key, std::string_view value) {
+    const json from = json::parse(value, nullptr, false);
+    if (!from.is_object()) wrong("value", "not an object");
+    Member member{};
+    member.entry.id = key.substr(key.rfind('/') + 1);
+    member.entry.standing =
+        word<Standing>(from, "state", {{"in_service", Standing::ready}, {"terminating", Standing::draining}});
+    member.entry.started = whole(from, "started_ms");
+    return member;
+}
+
+} // namespace pineridge::membership
--- /dev/null
+++ b/tests/membership/source_test.cpp
@@ -0,0 +1,241 @@
+// The etcd source on loopback against a registry on grpc++: the hard cases, decided by events. After each the
+// view is set against the registry's own state.
+#undef NDEBUG
+#include "list_value.hpp"
+#include "membership/etcd/source.hpp"
+#include "standins/registry/registry.hpp"
+
+#include <cassert>
+#include <iostream>
+
+using namespace pineridge;
+using namespace pineridge::membership;
+using standins::Registry;
+
+namespace {
+
+std::string value(const std::string &state, int started = 0) {
+    return R"({"id":"x","addr":"127.0.0.1:1","state":")" + state + R"(","started_ms":)" +
+           std::to_string(started) + "}";
+}
+
+struct World {
+    explicit World(int registries = 1)
+        : registries_(static_cast<std::size_t>(registries)), log(logged, "n1", Level::info) {
+        for (auto &one : registries_) one = std::make_unique<Registry>();
+        for (const char *id : {"a", "b", "c", "d"}) registry().put(key(id), value("in_service"));
+    }
+    ~World() {
+        if (source) source->stop();
+        io.run_for(std::chrono::milliseconds(50));
+    }
+
+    Registry &registry(int at = 0) { return *registries_[static_cast<std::size_t>(at)]; }
+    static std::string key(const std::string &id) { return "/hosts/" + id; }
+    void begin() {
+        etcd::Plot plot;
+        for (const auto &one : registries_)
+            plot.endpoints.push_back(read_address(one->address(), "endpoint"));
+        plot.prefix = "/hosts/";
+        plot.times = {5000, 1000, 4000, 3000};
+        plot.ends = {500, 2000, 0};
+        plot.view.doubt_for = 10000;
+        plot.view.confirm_after = 3000;
+        plot.view.lag_for = 8000;
+        plot.page = 2;
+        source.emplace(
+            io, plot, read_value, limits, log, 7, [this] { return time(); },
+            [this](const Listing &told) { take(told); });
+        source->begin();
+    }
+    Ticks time() const {
+        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - began)
+                   .count() /
+               100;
+    }
+    void take(const Listing &told) {
+        for (const Member &member : told.members) {
+            const std::string &id = member.entry.id;
+            if (member.entry.standing == Standing::gone)
+                list.erase(id);
+            else
+                list[id] = member.entry.standing;
+        }
+    }
+    void until(const std::function<bool()> &held) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!held()) {
+            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str() << text() << "\n";
+            assert(std::chrono::steady_clock::now() < end);
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+    std::string text() const {
+        std::string all;
+        for (const auto &[id, standing] : list) all += id + (standing == Standing::ready ? "+" : "-");
+        return all;
+    }
+    void until_list(const std::string &wanted) {
+        until([&] { return text() == wanted; });
+    }
+    bool said(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+    void watched(int times = 1) {
+        until([&] { return registry().watches() >= times && source->view().synced(); });
+    }
+
+    boost::asio::io_context io;
+    std::vector<std::unique_ptr<Registry>> registries_;
+    std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    std::ostringstream logged;
+    Log log;
+    Limits limits{};
+    std::map<std::string, Standing> list;
+    std::optional<etcd::Source> source;
+};
+
+void a_list_is_read_in_pages_and_followed() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().put(World::key("a"), value("terminating"));
+    world.until_list("a-b+c+d+");
+    world.registry().remove(World::key("a"));
+    world.registry().put(World::key("e"), value("in_service"));
+    world.until_list("b+c+d+e+");
+    world.registry().put("/other/f", "not ours");
+    world.registry().put(World::key("b"), "{not json");
+    world.until([&] { return world.said("unreadable: /hosts/b"); });
+    assert(world.text() == "b+c+d+e+");
+}
+
+// Hard case 1: what it would resume from is compacted; one host was drained and one deleted meanwhile.
+void a_compacted_resume_misses_no_drain() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().stop();
+    world.until([&] { return world.said("registry.left"); });
+    world.registry().put(World::key("a"), value("terminating"));
+    world.registry().remove(World::key("b"));
+    world.registry().compact(world.registry().put("/other", "x"));
+    world.registry().start();
+    world.until_list("a-c+d+");
+    assert(world.said("is compacted"));
+}
+
+// Hard case 1: compacted again during the read, and the list changes between its pages.
+void a_read_that_is_compacted_away_begins_anew() {
+    World world;
+    int act = 0;
+    world.registry().on_page([&] {
+        if (act++ > 0) return;
+        world.registry().put(World::key("a"), value("terminating"));
+        world.registry().compact(world.registry().remove(World::key("d")));
+    });
+    world.begin();
+    world.until_list("a-b+c+");
+    world.watched();
+}
+
+// Hard case 2: open and dead, pings answered.
+void a_quiet_watch_is_left() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().mute(true);
+    world.registry().put(World::key("a"), value("terminating"));
+    world.until([&] { return world.said("a watch that is quiet"); });
+    world.registry().mute(false);
+    world.until_list("a-b+c+d+");
+}
+
+// Hard case 2: progress goes on, one word was told to nobody.
+void a_missed_word_is_found() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().pass_over(1);
+    world.registry().put(World::key("a"), value("terminating"));
+    world.until_list("a-b+c+d+");
+    assert(world.said("the watch has missed /hosts/a"));
+}
+
+// Hard case 3: the stream ends between the pieces of one batch.
+void half_a_batch_is_none() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().fragment(1, 1);
+    world.registry().write({{0, World::key("a"), value("terminating"), false},
+                            {0, World::key("b"), value("terminating"), false},
+                            {0, World::key("c"), value("terminating"), false}});
+    world.until_list("a-b-c-d+");
+    assert(world.registry().watches() >= 2);
+}
+
+// Hard case 4: after a change of member the new one lags: no drained host comes back to life.
+void a_lagging_member_is_not_believed() {
+    World world(2);
+    // Both hold the same words; the second stands three behind.
+    for (const char *id : {"a", "b", "c", "d"}) world.registry(1).put(World::key(id), value("in_service"));
+    world.begin();
+    world.until_list("a+b+c+d+");
+    for (int at : {0, 1}) {
+        world.registry(at).put(World::key("a"), value("terminating"));
+        world.registry(at).put(World::key("b"), value("terminating"));
+    }
+    world.until_list("a-b-c+d+");
+    const int serving = world.registry(0).watches() > 0 ? 0 : 1;
+    world.registry(1 - serving).lag(2);
+    world.registry(serving).stop();
+    world.until([&] { return world.said("a member that lags"); });
+    assert(world.text() == "a-b-c+d+");
+    world.registry(1 - serving).lag(0);
+    world.registry(1 - serving).put(World::key("c"), value("terminating"));
+    world.until_list("a-b-c-d+");
+}
+
+// Hard case 5: the registry has lost its data: the hosts stay, and go once the doubt has passed.
+void lost_data_is_doubted_first() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().stop();
+    world.registry().forget();
+    world.registry().start();
+    world.until([&] { return world.said("doubt: 4 of 4"); });
+    assert(world.said("counts anew"));
+    assert(world.text() == "a+b+c+d+");
+    world.until_list("");
+}
+
+// Hard case 7: values of any size are one host's matter.
+void a_huge_value_leaves_the_rest_unharmed() {
+    World world;
+    world.begin();
+    world.until_list("a+b+c+d+");
+    world.watched();
+    world.registry().put(World::key("a"), std::string(1 << 20, 'x'));
+    world.registry().put(World::key("b"), value("terminating"));
+    world.until_list("a+b-c+d+");
+}
+
+} // namespace
+
+int main() {
+    a_list_is_read_in_pages_and_followed();
+    a_compacted_resume_misses_no_drain();
+    a_read_that_is_compacted_away_begins_anew();
+    a_quiet_watch_is_left();
+    a_missed_word_is_found();
+    half_a_batch_is_none();
+    a_lagging_member_is_not_believed();
+    lost_data_is_doubted_first();
+    a_huge_value_leaves_the_rest_unharmed();
+}
