--- a/src/membership/endpoints.hpp
+++ b/src/membership/endpoints.hpp
@@ -12,7 +12,7 @@
 namespace pineridge::membership {
 
 struct EndpointRules {
-    Ticks rest_least = 2000, rest_most = 100000;
+    Ticks rest_least = 500, rest_most = 100000;
     Ticks spread = 0; // whole reads after the registry was away: each router at a drawn moment within
 };
 
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -39,6 +39,7 @@
 }
 
 asio::awaitable<void> Driver::serve() {
+    if (start_.registry) begin_registry();
     if (office_) office_->begin();
     stream_.begin();
     co_await hosts_.warm_up();
@@ -98,7 +99,9 @@
              " stage ", made.stage);
         if (office_) office_->judged(made.build, made.verdict);
         return votes_.cast(made.build, made.stage, made.verdict);
-    case Act::watch_list: return watch_.begin();
+    case Act::watch_list:
+        if (!start_.registry) watch_.begin();
+        return;
     case Act::wake: return wake_at(made.span);
     case Act::log: return log_(Level::info, made.text);
     case Act::tell: // the platform has no way between routers yet
@@ -189,11 +192,44 @@
             hosts_.put(entry.id, host.address, entry.standing == Standing::ready, entry.started, entry.build);
     }
     if (listing.whole) hosts_.keep_only(entries);
-    watch_.stands_at(listing.version);
+    if (!start_.registry) watch_.stands_at(listing.version);
     module().list(entries, listing.whole);
     log_(Level::debug, "list ", listing.version, ", entries ", entries.size());
 }
 
+// The list comes from a registry: each change of its view as a change of discovery's would.
+void Driver::begin_registry() {
+    const Registry &from = *start_.registry;
+    membership::etcd::Plot plot;
+    plot.endpoints = start_.registry_at;
+    plot.prefix = from.prefix;
+    plot.token = start_.registry_token;
+    plot.view.doubt_share = from.doubt_share;
+    plot.view.doubt_least = static_cast<std::size_t>(from.doubt_hosts);
+    plot.view.doubt_for = from.doubt_for;
+    plot.view.confirm_after = from.confirm_after;
+    plot.view.lag_for = from.lag_for;
+    plot.ends.spread = from.spread;
+    plot.times = {from.answer, from.progress, from.quiet, from.look};
+    plot.page = static_cast<std::size_t>(from.page);
+    const auto read = [this](const std::string &, std::string_view value) {
+        const json parsed = json::parse(value, nullptr, false);
+        if (!parsed.is_object()) wrong("value", "not an object");
+        const list::Listed host = list::read_host(parsed, start_.names);
+        if (host.entry.standing == Standing::gone) wrong("state", "a host that has gone has no key");
+        return membership::Member{host.entry, host.address};
+    };
+    registry_.emplace(
+        io_, std::move(plot), read, start_.limits, log_, start_.seed, [this] { return time(); },
+        [this](const membership::Listing &told) {
+            list::Listing listing;
+            for (const membership::Member &member : told.members)
+                listing.hosts.push_back({member.entry, member.address});
+            take_list(listing);
+        });
+    registry_->begin();
+}
+
 void Driver::take_told(const rollout::Told &told) {
     if (const auto *news = std::get_if<News>(&told)) take_news(*news);
     if (const auto *tally = std::get_if<Tally>(&told)) module().tally(*tally);
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -1,6 +1,7 @@
 // Owns the module: what peers tell becomes calls on it, and its decisions become messages. One thread.
 #pragma once
 
+#include "membership/etcd/source.hpp"
 #include "release/office.hpp"
 #include "router/clients/clients.hpp"
 #include "router/hosts/hosts.hpp"
@@ -47,6 +48,7 @@
     void answer(Rpc &rpc, std::string bytes);
     void forget_if_over(const std::string &id);
     void take_list(const list::Listing &listing);
+    void begin_registry();
     void take_told(const rollout::Told &told);
     void take_news(News news);
     void wake_at(Ticks at);
@@ -57,6 +59,7 @@
     const Start &start_;
     const Log &log_;
     std::unique_ptr<Router> module_;
+    std::optional<membership::etcd::Source> registry_; // in discovery's place
     std::optional<release::Office> office_; // where releases go by cell
     std::unordered_map<std::string, Rpc> rpcs_;
     hosts::Hosts hosts_;
--- a/src/router/list/listing.cpp
+++ b/src/router/list/listing.cpp
@@ -2,8 +2,6 @@
 
 namespace pineridge::router::list {
 
-namespace {
-
 Listed read_host(const json &from, const Names &names) {
     Listed host{};
     HostEntry &entry = host.entry;
@@ -26,8 +24,6 @@
     return host;
 }
 
-} // namespace
-
 Listing read_listing(const json &from, const Names &names) {
     Listing listing{};
     const json &version = need(from, "version");
--- a/src/router/list/listing.hpp
+++ b/src/router/list/listing.hpp
@@ -16,7 +16,8 @@
     std::vector<Listed> hosts{};
 };
 
-// Throws BadInput naming the faulty key.
+// Both throw BadInput naming the faulty key.
+Listed read_host(const json &from, const Names &names);
 Listing read_listing(const json &from, const Names &names);
 
 } // namespace pineridge::router::list
--- a/src/router/start.hpp
+++ b/src/router/start.hpp
@@ -27,6 +27,9 @@
     Names names;
     json news; // the platform's newest, in its own form
     json known; // the list as last had, in discovery's form
+    std::optional<Registry> registry{}; // holds the list of hosts in discovery's place
+    std::vector<Address> registry_at{}; // its endpoints
+    std::string registry_token{};
     std::optional<Scheme> release{}; // staged releases by cell; none: one cell for all, as the platform tells
 };
 
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -199,6 +199,30 @@
     return scheme;
 }
 
+Registry read_registry(const Node &node) {
+    Registry registry;
+    registry.prefix = node.text("prefix");
+    registry.token_file = node.text("token-file");
+    for (const Node &endpoint : node.all("endpoint")) registry.endpoints.push_back(endpoint.text("address"));
+    for (const Node &doubt : node.all("doubt")) {
+        doubt.take("share", registry.doubt_share);
+        doubt.take_count("hosts", registry.doubt_hosts);
+        doubt.take_span("for-s", registry.doubt_for);
+        doubt.take_span("confirm-after-s", registry.confirm_after);
+        doubt.take_span("lag-for-s", registry.lag_for);
+    }
+    for (const Node &watch : node.all("watch")) {
+        watch.take_span("progress-s", registry.progress);
+        watch.take_span("quiet-s", registry.quiet);
+        watch.take_span("look-s", registry.look);
+        watch.take_span("answer-s", registry.answer);
+        watch.take_count("page", registry.page);
+        watch.take_span("spread-s", registry.spread);
+        if (registry.quiet <= registry.progress) watch.wrong("quiet-s", "not above progress-s");
+    }
+    return registry;
+}
+
 } // namespace
 
 Wishes read_wishes(const std::string &text, const std::string &file) {
@@ -224,6 +248,7 @@
     Wishes wishes;
     const Node root(xmlDocGetRootElement(document.get()), file);
     for (const Node &release : root.all("release")) wishes.release = read_scheme(release);
+    for (const Node &registry : root.all("registry")) wishes.registry = read_registry(registry);
     return wishes;
 }
 
--- a/src/settings/read.hpp
+++ b/src/settings/read.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/bad_input.hpp"
+#include "settings/registry.hpp"
 #include "settings/scheme.hpp"
 
 #include <optional>
@@ -13,6 +14,7 @@
 // All that the settings may wish for; what a file leaves out is off.
 struct Wishes {
     std::optional<Scheme> release;
+    std::optional<Registry> registry;
 };
 
 // Both throw BadInput as "FILE:LINE: KEY: what is wrong". `file` names the text in messages.
--- /dev/null
+++ b/src/settings/registry.hpp
@@ -0,0 +1,23 @@
+// What the operators' own settings say of a registry that holds the list of hosts. Plain data, in ticks.
+#pragma once
+
+#include "logic.hpp"
+
+#include <string>
+#include <vector>
+
+namespace pineridge {
+
+struct Registry {
+    std::vector<std::string> endpoints; // addresses of an etcd v3 registry's members
+    std::string prefix; // of the hosts' keys
+    std::string token_file; // its first line goes as authorization; never logged
+    double doubt_share = 0.5; // a whole read that lacks this share of the hosts is doubted
+    int doubt_hosts = 3; // and so many at least
+    Ticks doubt_for = 50000, confirm_after = 10000, lag_for = 100000;
+    Ticks progress = 10000, quiet = 25000, look = 100000, answer = 20000;
+    int page = 500; // keys
+    Ticks spread = 20000; // whole reads of all routers, when a registry comes back
+};
+
+} // namespace pineridge
--- /dev/null
+++ b/tests/membership/daemon_test.cpp
@@ -0,0 +1,31 @@
+// The daemon with its hosts from a registry: each drain is honoured within 250 ms of being told, in calm and
+// through breaks, compaction and words told to nobody.
+#undef NDEBUG
+#include "world.hpp"
+
+using namespace pineridge;
+using namespace pineridge::test;
+
+int main() {
+    RegistryWorld world;
+    standins::Host &host = world.town.hosts.front();
+    const auto nothing = [] {};
+    assert(world.drain(host, nothing, nothing) <= 250);
+    // The stream is cancelled just before the word: it is told by the next watch, which begins within 100 ms.
+    assert(world.drain(
+               host, [&] { world.registry.drop(); }, nothing) <= 250 + 100);
+    // Compacted while nobody watches: the whole is read.
+    assert(world.drain(
+               host, [&] { world.registry.stop(); },
+               [&] {
+                   world.registry.compact(world.registry.revision());
+                   world.registry.start();
+               }) <= 250 + 250);
+    assert(world.said("is compacted"));
+    // Told to nobody: found by the next look, 0.4 s apart.
+    assert(world.drain(
+               host, [&] { world.registry.pass_over(1); }, nothing) <= 250 + 500);
+    assert(world.said("the watch has missed /hosts/h0"));
+    for (const auto &row : world.town.clients.asked())
+        assert(row.answer != "lost" && row.answer != "refused");
+}
--- /dev/null
+++ b/tests/membership/world.hpp
@@ -0,0 +1,93 @@
+// A whole router that has its hosts from a stand-in registry, with traffic; for the test and the measurement.
+#pragma once
+
+#include "router/service.hpp"
+#include "standins/registry/registry.hpp"
+#include "standins/town/town.hpp"
+
+#include <cassert>
+#include <fstream>
+#include <iostream>
+
+namespace pineridge::test {
+
+struct RegistryWorld {
+    explicit RegistryWorld(int hosts = 6) : town(io, standins::Plot{}) {
+        for (int i = 0; i < hosts; ++i) put(town.host("h" + std::to_string(i), "north", 1));
+        town.write_files();
+        // Discovery knows nothing: all hosts come from the registry.
+        json config = json::parse(town.config_text());
+        config["known"]["servers"] = json::array();
+        std::ofstream(town.folder / "config.json") << config.dump();
+        std::ofstream(town.folder / "settings.xml")
+            << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/"><endpoint address=")"
+            << registry.address()
+            << R"("/><watch progress-s="0.1" quiet-s="0.5" look-s="0.4" answer-s="0.5"/></registry></pineridge>)";
+        start = router::read_start_file((town.folder / "config.json").string(),
+                                        [](const char *) { return nullptr; });
+        router::take_wishes(start, read_wishes_file((town.folder / "settings.xml").string()));
+        log.emplace(logged, "n1", Level::info);
+        service = std::make_unique<router::Service>(
+            io, (town.folder / "config.json").string(), [](const char *) { return nullptr; }, start, *log,
+            [] {});
+        until([&] { return said("serving") && registry.watches() > 0; });
+        town.flow("acme", 500);
+    }
+    ~RegistryWorld() { town.stop(); }
+
+    void put(const standins::Host &host) { registry.put("/hosts/" + host.id, host.entry().dump()); }
+    bool said(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+    void until(const std::function<bool()> &held) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (!held()) {
+            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str();
+            assert(std::chrono::steady_clock::now() < end);
+            io.run_one_for(std::chrono::milliseconds(5));
+        }
+    }
+    int picks_at(const std::string &id, std::int64_t since) const {
+        int count = 0;
+        for (const auto &pick : town.picks) count += pick.host == id && pick.at >= since;
+        return count;
+    }
+    // Picks reach every host that is ready; then this one is drained, and `fault` strikes. How long after the
+    // word was told, on this connection or a later one, did the last pick reach it?
+    double drain(standins::Host &host, const std::function<void()> &before,
+                 const std::function<void()> &after) {
+        const std::int64_t began = standins::Town::now();
+        until([&] { return picks_at(host.id, began) > 2; });
+        before();
+        host.state = "terminating";
+        put(host);
+        const std::int64_t written = standins::Town::now();
+        after();
+        // It is honoured once the others have served for longer than it was last picked.
+        const auto quiet = [&] {
+            std::int64_t last = written, newest = written;
+            for (const auto &pick : town.picks) {
+                newest = std::max(newest, pick.at);
+                if (pick.host == host.id) last = std::max(last, pick.at);
+            }
+            return newest - last > 900;
+        };
+        until(quiet);
+        std::int64_t last = written;
+        for (const auto &pick : town.picks)
+            if (pick.host == host.id) last = std::max(last, pick.at);
+        host.state = "in_service";
+        host.started_ms = standins::Town::now() - 5000;
+        put(host);
+        town.picks.clear();
+        return static_cast<double>(last - written);
+    }
+
+    boost::asio::io_context io;
+    standins::Town town;
+    standins::Registry registry;
+    router::Start start;
+    std::ostringstream logged;
+    std::optional<Log> log;
+    std::unique_ptr<router::Service> service;
+};
+
+} // namespace pineridge::test
