The last known list on disk bridges a start while the registry is away

Cause: a router that starts while its registry is away has no host. And a host drained before a registry lost its data must not come back with an older word, while a list from disk must bind nobody.

Only hosts known from before a recount keep their drain.

--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -29,6 +29,7 @@
                 std::cout << ", cells " << scheme->cells() << ", stages " << scheme->stages.size() - 1
                           << ", freezes " << scheme->freezes.size() << ", dependencies "
                           << scheme->needs.size();
+            if (wishes->registry) std::cout << ", registry endpoints " << wishes->registry->endpoints.size();
             std::cout << '\n';
         }
         if (config->empty()) return 0;
--- a/src/membership/etcd/source.cpp
+++ b/src/membership/etcd/source.cpp
@@ -1,5 +1,7 @@
 #include "membership/etcd/source.hpp"
 
+#include "membership/cache.hpp"
+
 #include <sstream>
 
 namespace pineridge::membership::etcd {
@@ -13,7 +15,39 @@
       clock_(std::move(clock)), told_(std::move(told)), view_(plot_.view),
       ends_(plot_.endpoints.size(), plot_.ends, seed), timer_(io) {}
 
-void Source::begin() { asio::co_spawn(io_, run(), asio::detached); }
+void Source::begin() {
+    start_from_known();
+    asio::co_spawn(io_, run(), asio::detached);
+}
+
+// What a router knew when it last ran serves until the registry answers: a registry that is away at a start
+// would else leave it without a host.
+void Source::start_from_known() {
+    if (plot_.known_file.empty()) return;
+    const auto bytes = load(plot_.known_file, 64u << 20);
+    if (!bytes) return;
+    std::string why;
+    const auto known = unpack(*bytes, plot_.prefix, why);
+    if (!known) return log_.event(Level::warning, "registry.known", {{"ignored", why}});
+    std::vector<Record> records;
+    for (const auto &[key, value] : known->pairs) records.push_back(make_record(read_, key, 0, value));
+    view_.start_from(records);
+    log_.event(Level::info, "registry.known",
+               {{"hosts", records.size()}, {"rev", known->rev}, {"age_ms", clock_() / 10 - known->written}});
+    flush();
+}
+
+// At most once in a while, and never what is only doubted or not heard from a registry.
+void Source::save_known() {
+    if (plot_.known_file.empty() || !save_due_ || !view_.synced() || view_.doubting()) return;
+    if (saved_at_ > 0 && clock_() - saved_at_ < plot_.save_each) return;
+    saved_at_ = clock_();
+    save_due_ = false;
+    Known known{view_.revision(), clock_() / 10, {}};
+    for (const Record &record : view_.records()) known.pairs.emplace_back(record.key, record.value);
+    const std::string why = save(plot_.known_file, pack(known, plot_.prefix));
+    if (!why.empty()) log_.event(Level::warning, "registry.known", {{"not written", why}});
+}
 
 struct Source::Line {
     Line(asio::io_context &io, View &view, const Source &of, const std::string &authority)
@@ -124,7 +158,11 @@
 void Source::flush() {
     for (const std::string &line : view_.take_lines())
         log_.event(Level::info, "registry.view", {{"what", line}});
-    if (const auto listing = view_.take()) told_(*listing);
+    if (const auto listing = view_.take()) {
+        save_due_ = true;
+        told_(*listing);
+    }
+    save_known();
 }
 
 } // namespace pineridge::membership::etcd
--- a/src/membership/etcd/source.hpp
+++ b/src/membership/etcd/source.hpp
@@ -21,6 +21,8 @@
     std::vector<Address> endpoints;
     std::string prefix;
     std::string token; // never logged
+    std::string known_file; // the last known list; empty: none is kept
+    Ticks save_each = 50000;
     ViewRules view;
     EndpointRules ends;
     Times times;
@@ -48,6 +50,8 @@
     asio::awaitable<void> write(std::shared_ptr<Line> line);
     void kick(const std::shared_ptr<Line> &line); // what the follower has to say goes out
     void flush();
+    void start_from_known();
+    void save_known();
 
     asio::io_context &io_;
     const Plot plot_;
@@ -60,6 +64,8 @@
     Endpoints ends_;
     std::shared_ptr<Line> line_;
     asio::steady_timer timer_;
+    Ticks saved_at_ = 0;
+    bool save_due_ = false;
     bool stopped_ = false;
 };
 
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -23,6 +23,7 @@
     bool gone = false; // the key was taken away, or its lease ran out
     std::optional<Member> member{}; // none: its value cannot be read
     std::string fault{}; // then: why
+    std::string value{}; // as it was told, for the last known list
 };
 
 // The list as the module wants it.
--- a/src/membership/value.cpp
+++ b/src/membership/value.cpp
@@ -8,6 +8,7 @@
     record.rev = rev;
     try {
         record.member = read(record.key, value);
+        record.value = value;
     } catch (const std::exception &bad) {
         record.fault = bad.what();
     }
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -72,7 +72,7 @@
     lines_.push_back("the registry counts anew: revision " + std::to_string(rev) + " after " +
                      std::to_string(rev_));
     rev_ = 0;
-    for (auto &[key, held] : held_) held.record.rev = 0;
+    for (auto &[key, held] : held_) held.record.rev = 0, held.recounted = true;
     gone_.clear();
     return false;
 }
@@ -195,8 +195,7 @@
     if (record.rev < at->second.record.rev) return;
     doubted_.erase(record.key);
     HostEntry before = at->second.record.member->entry;
-    const bool anew =
-        at->second.record.rev == 0; // known from before the registry's count, or from the last known list
+    const bool anew = std::exchange(at->second.recounted, false);
     at->second.record = record;
     HostEntry &entry = at->second.record.member->entry;
     if (anew && before.standing == Standing::draining && before.started == entry.started)
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -72,6 +72,7 @@
     struct Held {
         Record record;
         bool listed = false; // the module knows it
+        bool recounted = false; // it was known before the registry lost its data
     };
 
     void put(const Record &record);
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -204,6 +204,7 @@
     plot.endpoints = start_.registry_at;
     plot.prefix = from.prefix;
     plot.token = start_.registry_token;
+    plot.known_file = from.known_file;
     plot.view.doubt_share = from.doubt_share;
     plot.view.doubt_least = static_cast<std::size_t>(from.doubt_hosts);
     plot.view.doubt_for = from.doubt_for;
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -203,6 +203,7 @@
     Registry registry;
     registry.prefix = node.text("prefix");
     registry.token_file = node.text("token-file");
+    registry.known_file = node.text("known-file");
     for (const Node &endpoint : node.all("endpoint")) registry.endpoints.push_back(endpoint.text("address"));
     for (const Node &doubt : node.all("doubt")) {
         doubt.take("share", registry.doubt_share);
--- a/src/settings/registry.hpp
+++ b/src/settings/registry.hpp
@@ -11,6 +11,7 @@
 struct Registry {
     std::vector<std::string> endpoints; // addresses of an etcd v3 registry's members
     std::string prefix; // of the hosts' keys
+    std::string known_file; // the last known list is kept there; empty: none is
     std::string token_file; // its first line goes as authorization; never logged
     double doubt_share = 0.5; // a whole read that lacks this share of the hosts is doubted
     int doubt_hosts = 3; // and so many at least
--- a/tests/membership/source_test.cpp
+++ b/tests/membership/source_test.cpp
@@ -6,7 +6,9 @@
 #include "standins/registry/registry.hpp"
 
 #include <cassert>
+#include <filesystem>
 #include <iostream>
+#include <unistd.h>
 
 using namespace pineridge;
 using namespace pineridge::membership;
@@ -37,6 +39,7 @@
         for (const auto &one : registries_)
             plot.endpoints.push_back(read_address(one->address(), "endpoint"));
         plot.prefix = "/hosts/";
+        plot.known_file = known;
         plot.times = {5000, 1000, 4000, 3000};
         plot.ends = {500, 2000, 0};
         plot.view.doubt_for = 10000;
@@ -90,6 +93,7 @@
     Log log;
     Limits limits{};
     std::map<std::string, Standing> list;
+    std::string known;
     std::optional<etcd::Source> source;
 };
 
@@ -215,6 +219,37 @@
     world.until_list("");
 }
 
+// A router that starts while the registry is away has the hosts it knew; a torn file is ignored and said so.
+void the_last_known_list_bridges_a_start() {
+    const auto path =
+        std::filesystem::temp_directory_path() / ("pineridge-known-" + std::to_string(::getpid()));
+    {
+        World world;
+        world.known = path.string();
+        world.begin();
+        world.until_list("a+b+c+d+");
+        world.until([&] { return std::filesystem::exists(path); });
+    }
+    {
+        World world;
+        world.known = path.string();
+        world.registry().put(World::key("a"), value("terminating"));
+        world.registry().stop();
+        world.begin();
+        world.until_list("a+b+c+d+");
+        assert(world.said("registry.known hosts=4"));
+        world.registry().start();
+        world.until_list("a-b+c+d+");
+    }
+    std::filesystem::resize_file(path, 20);
+    World world;
+    world.known = path.string();
+    world.begin();
+    world.until_list("a+b+c+d+");
+    assert(world.said("registry.known ignored="));
+    std::filesystem::remove(path);
+}
+
 // Hard case 7: values of any size are one host's matter.
 void a_huge_value_leaves_the_rest_unharmed() {
     World world;
@@ -237,5 +272,6 @@
     half_a_batch_is_none();
     a_lagging_member_is_not_believed();
     lost_data_is_doubted_first();
+    the_last_known_list_bridges_a_start();
     a_huge_value_leaves_the_rest_unharmed();
 }
--- a/tests/membership/view_test.cpp
+++ b/tests/membership/view_test.cpp
@@ -223,6 +223,28 @@
     assert(bench.take() == "b:gone a:draining");
 }
 
+// Counted anew after its data was lost, an older word brings no draining host back; the last known list does
+// not bind.
+void no_draining_host_comes_back_with_lost_data() {
+    ViewRules rules;
+    rules.lag_for = 1000;
+    Bench bench(rules);
+    bench.read(10, {host("a", 3), host("b", 4)});
+    bench.view.change(host("a", 11, Standing::draining));
+    bench.take();
+    bench.read(5, {host("a", 3), host("b", 4)});
+    assert(bench.view.ask() == Ask::elsewhere);
+    bench.pass(1000);
+    bench.read(5, {host("a", 3), host("b", 4)});
+    assert(bench.take() == "a:draining b:ready" && bench.view.revision() == 5);
+    bench.view.change(host("a", 6, Standing::ready, 700));
+    assert(bench.take() == "a:ready"); // it has started again
+    Bench fresh;
+    fresh.view.start_from({host("a", 9, Standing::draining)});
+    fresh.read(10, {host("a", 10)});
+    assert(fresh.take() == "a:ready");
+}
+
 void hosts_are_bounded() {
     ViewRules rules;
     rules.most = 2;
@@ -258,6 +280,7 @@
     drains_told_one_by_one_are_never_doubted();
     a_few_hosts_missing_are_gone_at_once();
     the_last_known_list_serves_until_the_registry_tells();
+    no_draining_host_comes_back_with_lost_data();
     hosts_are_bounded();
     age_counts_from_the_last_word();
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -66,6 +66,26 @@
     assert(says(fault("</pineridge>", ""), "f.xml:", ""));
 }
 
+void a_registry_is_read() {
+    const std::string head = R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/h/">)";
+    const Wishes wishes =
+        read_wishes(head + R"(<endpoint address="127.0.0.1:1"/><endpoint address="127.0.0.1:2"/>
+        <doubt share="0.25" for-s="2"/><watch quiet-s="3" page="9"/></registry></pineridge>)",
+                    "f.xml");
+    const Registry &registry = *wishes.registry;
+    assert(registry.endpoints.size() == 2 && registry.prefix == "/h/" && registry.doubt_share == 0.25);
+    assert(registry.doubt_for == 20000 && registry.quiet == 30000 && registry.page == 9 &&
+           registry.look == 100000);
+    try {
+        read_wishes(
+            head + R"(<endpoint address="a"/><watch progress-s="2" quiet-s="1"/></registry></pineridge>)",
+            "f.xml");
+        assert(false);
+    } catch (const BadInput &bad) {
+        assert(std::string(bad.what()) == "f.xml:1: watch.quiet-s: not above progress-s");
+    }
+}
+
 // An entity that names a file is not read.
 void no_file_is_read_by_the_way() {
     try {
@@ -82,5 +102,6 @@
 int main() {
     all_is_read();
     faults_name_file_line_and_key();
+    a_registry_is_read();
     no_file_is_read_by_the_way();
 }
