The settings' library is refused where it is of another build

Cause: under ASan a library built beside another layout of the settings wrote past them; in service that is an upgrade half done.

Change: the program tells the size of what it wants read, the library refuses another one; both check their signature when compiled.

Measured: release/command passes plainly and under ASan and UBSan.

--- a/src/settings/library.cpp
+++ b/src/settings/library.cpp
@@ -2,8 +2,12 @@
 
 #include "settings/read.hpp"
 
-extern "C" bool pineridge_read_wishes(const std::string &path, pineridge::Wishes &wishes,
+extern "C" bool pineridge_read_wishes(const std::string &path, std::size_t size, pineridge::Wishes &wishes,
                                       std::string &fault) {
+    if (size != sizeof wishes) {
+        fault = "settings: pineridge_settings.so is of another build";
+        return false;
+    }
     try {
         wishes = pineridge::read_wishes_file(path);
         return true;
@@ -12,3 +16,5 @@
         return false;
     }
 }
+
+static_assert(std::is_same_v<decltype(&pineridge_read_wishes), pineridge::ReadWishes>);
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -16,7 +16,7 @@
     if (!read) throw std::runtime_error(std::string("settings: ") + dlerror());
     Wishes wishes;
     std::string fault;
-    if (!read(path, wishes, fault)) throw BadInput(fault);
+    if (!read(path, sizeof wishes, wishes, fault)) throw BadInput(fault);
     return wishes;
 }
 
--- a/tests/release/command_test.cpp
+++ b/tests/release/command_test.cpp
@@ -41,7 +41,9 @@
     while (waitpid(child, &status, WNOHANG) == 0) town.io.run_one_for(std::chrono::milliseconds(5));
     std::ostringstream said;
     said << std::ifstream(out).rdbuf();
-    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, said.str()};
+    const Ran ran{WIFEXITED(status) ? WEXITSTATUS(status) : -1, said.str()};
+    if (ran.status != 0) std::cerr << ran.said; // read where a status is not the one wanted
+    return ran;
 }
 
 bool has(const Ran &ran, const std::string &part) {
