One check of whether a freeze stands; no look-up of builds where no plan is told

Change: Freezes::stands serves both questions; the driver asks for the build only with a plan. Behaviour is as it was.

Measured: plan, property, loopback, socket and telling tests pass.

--- a/src/release/freezes.hpp
+++ b/src/release/freezes.hpp
@@ -50,17 +50,13 @@
 
     bool covers(const std::string &service, int zone, int customer, Ticks now) const {
         return overfull_ || std::any_of(standing_.begin(), standing_.end(), [&](const Standing &one) {
-                   return one.freeze.from <= now && now < end(one) && fits(one.zone, zone) &&
-                          fits(one.customer, customer) &&
-                          (one.freeze.service.empty() || one.freeze.service == service);
+                   return stands(one, service, zone, customer, now);
                });
     }
     // Did a window of the settings stand then? The desk does not know of those.
     bool own_covers(const std::string &service, int zone, int customer, Ticks then) const {
         return std::any_of(standing_.begin(), standing_.end(), [&](const Standing &one) {
-            return one.own && one.freeze.from <= then && then < end(one) && fits(one.zone, zone) &&
-                   fits(one.customer, customer) &&
-                   (one.freeze.service.empty() || one.freeze.service == service);
+            return one.own && stands(one, service, zone, customer, then);
         });
     }
     std::size_t size() const { return standing_.size(); }
@@ -82,6 +78,10 @@
 
     // A part that is asked about as any (-1) is covered in part by a freeze of one.
     static bool fits(int frozen, int asked) { return frozen == kAny || asked == kAny || frozen == asked; }
+    bool stands(const Standing &one, const std::string &service, int zone, int customer, Ticks at) const {
+        return one.freeze.from <= at && at < end(one) && fits(one.zone, zone) &&
+               fits(one.customer, customer) && (one.freeze.service.empty() || one.freeze.service == service);
+    }
     Ticks end(const Standing &one) const { return one.freeze.to + scheme_.settle; }
     std::vector<Standing>::iterator find(const std::string &id) {
         return std::find_if(standing_.begin(), standing_.end(),
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -155,7 +155,7 @@
     ++rpc.under_way;
     rpc.picks.push_back(
         hosts_.send(made.host, rpc.held, made.span,
-                    [this, id = made.rpc, pick, build = hosts_.build_of(made.host),
+                    [this, id = made.rpc, pick, build = office_ ? hosts_.build_of(made.host) : -1,
                      sent = now_](hosts::Ending ending) { ended(id, pick, build, sent, ending); }));
 }
 
