Registries by one driver: etcd or blocking queries, plaintext or TLS, and our own key

The list came from one kind of registry, in plaintext, and the driver of connections was tied to it. Now a conversation (Peer) is fed bytes and told the time; Pump drives any of them, in the clear or by TLS; Source owns view and endpoints. TLS is OpenSSL over memory, in a library of its own that is loaded where the settings tell of it. Plaintext has to be told.

A second read confirms a doubt only once the told time has passed, so that reads that come for other reasons do not. A key told again at the revision that is held is not read again. An endpoint counts as good once the view believed a word of it, not by bytes alone.

--- /dev/null
+++ b/src/membership/access.hpp
@@ -0,0 +1,24 @@
+// A registry as the settings tell of it, made ready to be followed: addresses and token read, TLS loaded where it
+// is told.
+#pragma once
+
+#include "membership/source.hpp"
+#include "settings/registry.hpp"
+
+#include <memory>
+
+namespace pineridge::membership {
+
+struct Access {
+    std::vector<Address> endpoints;
+    std::string token; // never logged
+    std::unique_ptr<tls::Maker> tls; // none: plaintext
+};
+
+// Throws BadInput naming the key or the file; std::runtime_error where the library of TLS is not there.
+Access make_access(const Registry &from);
+
+// The plot for a source; `access` must outlive it.
+Plot make_plot(const Registry &from, const Access &access, const ReadValue &read, std::uint64_t seed);
+
+} // namespace pineridge::membership
--- a/src/membership/etcd/follower.cpp
+++ b/src/membership/etcd/follower.cpp
@@ -30,8 +30,10 @@
     go_on();
 }
 
-void Follower::fail(const std::string &why) {
-    if (why_.empty()) why_ = why;
+std::string Follower::output() {
+    std::string bytes = session_.output();
+    if (!session_.fault().empty()) fail(session_.fault());
+    return bytes;
 }
 
 void Follower::go_on() {
@@ -78,13 +80,13 @@
     now_ = std::max(now_, now);
     if (!session_.feed(bytes)) fail(session_.fault());
     http2::Event event{};
-    while (why_.empty() && session_.take(event)) take(event);
-    return why_.empty();
+    while (!dead() && session_.take(event)) take(event);
+    return !dead();
 }
 
 void Follower::clock(Ticks now) {
     now_ = std::max(now_, now);
-    if (!why_.empty() || doing_ == Doing::nothing) return;
+    if (dead() || doing_ == Doing::nothing) return;
     if (doing_ != Doing::watching) {
         if (now_ >= due_) fail(doing_ == Doing::reading ? "no answer to a read" : "no answer to a watch");
         return;
@@ -142,18 +144,19 @@
 }
 
 Record Follower::record_of(const etcdserverpb::KeyValue &pair, bool gone) const {
-    if (!gone) return make_record(read_, pair.key(), pair.mod_revision(), pair.value());
+    const bool same = !gone && view_.revision_of(pair.key()) == pair.mod_revision();
+    if (!gone && !same) return make_record(read_, pair.key(), pair.mod_revision(), pair.value());
     Record record;
     record.key = pair.key();
     record.rev = pair.mod_revision();
-    record.gone = true;
+    record.gone = gone;
+    record.same = same;
     return record;
 }
 
 void Follower::take_page(const std::string &bytes) {
     etcdserverpb::RangeResponse page;
     if (!page.ParseFromString(bytes) || !page.has_header()) return fail("a page that cannot be read");
-    cluster_ = page.header().cluster_id();
     if (read_rev_ == 0) read_rev_ = page.header().revision();
     std::vector<Record> records;
     for (const auto &pair : page.kvs()) records.push_back(record_of(pair, false));
--- a/src/membership/etcd/follower.hpp
+++ b/src/membership/etcd/follower.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "membership/etcd/rpc.pb.h"
+#include "membership/peer.hpp"
 #include "membership/value.hpp"
 #include "membership/view.hpp"
 #include "net/http2/session.hpp"
@@ -18,20 +19,16 @@
     Ticks audit = 100000; // between looks whether anything was missed
 };
 
-class Follower {
+class Follower final : public Peer {
   public:
     // The view outlives the follower: there is one follower a connection. `read` makes a host of a value.
     Follower(View &view, ReadValue read, std::string prefix, std::string authority, std::string token,
              Times times, std::size_t page = 500);
 
-    void begin(Ticks now); // the connection stands
-    bool feed(std::string_view bytes, Ticks now); // false: the connection is of no further use
-    void clock(Ticks now); // a bounded time may have passed: see `dead`
-    std::string output() { return session_.output(); }
-    bool dead() const { return !why_.empty(); }
-    const std::string &why() const { return why_; }
-    Ticks wake() const { return due_; }
-    std::uint64_t cluster() const { return cluster_; }
+    void begin(Ticks now) override;
+    bool feed(std::string_view bytes, Ticks now) override;
+    void clock(Ticks now) override;
+    std::string output() override;
 
   private:
     enum class Doing { nothing, reading, opening, watching };
@@ -45,7 +42,6 @@
     void take_audit(const std::string &bytes);
     void ask_progress();
     void audit();
-    void fail(const std::string &why);
     Record record_of(const etcdserverpb::KeyValue &pair, bool gone) const;
 
     View &view_;
@@ -57,12 +53,9 @@
     Doing doing_ = Doing::nothing;
     std::int32_t page_call_ = -1, watch_call_ = -1, audit_call_ = -1;
     std::int64_t read_rev_ = 0; // of the read under way
-    std::int64_t created_ = 0; // the watch covers what came after this
     std::vector<etcdserverpb::Event> fragments_;
     Ticks now_ = 0, due_ = 0, heard_at_ = 0, progress_at_ = 0, audit_at_ = 0;
-    std::uint64_t cluster_ = 0;
     std::int64_t audit_rev_ = 0;
-    std::string why_;
 };
 
 } // namespace pineridge::membership::etcd
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -24,6 +24,7 @@
     std::optional<Member> member{}; // none: its value cannot be read
     std::string fault{}; // then: why
     std::string value{}; // as it was told, for the last known list
+    bool same = false; // the view holds this key at this revision: its value was not read again
 };
 
 // The list as the module wants it.
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -23,12 +23,13 @@
 
 void View::let_go() {
     for (const std::string &key : std::exchange(doubted_, {})) remove(key);
-    doubt_until_ = -1;
+    doubt_until_ = doubt_since_ = -1;
 }
 
 void View::heard(std::int64_t rev) {
     rev_ = std::max(rev_, rev);
     told_at_ = now_;
+    ++words_;
     lag_since_ = -1;
 }
 
@@ -95,19 +96,20 @@
     for (const auto &[key, record] : read) {
         const auto gone = gone_.find(key);
         if (gone != gone_.end() && gone->second >= record.rev) continue; // told gone by a word that is newer
-        put(record);
+        if (!record.same) put(record);
     }
     gone_.clear();
     // Stops a registry that came back empty, or half, from emptying the fleet; costs the told time when it is
     // true.
     const bool many = lacking.size() >= rules_.doubt_least &&
                       static_cast<double>(lacking.size()) >= rules_.doubt_share * static_cast<double>(usable);
-    const bool confirmed = std::includes(doubted_.begin(), doubted_.end(), lacking.begin(), lacking.end());
+    const bool confirmed = doubt_since_ >= 0 && now_ - doubt_since_ >= rules_.confirm_after &&
+                           std::includes(doubted_.begin(), doubted_.end(), lacking.begin(), lacking.end());
     if (!many || confirmed) {
         doubted_ = lacking;
         let_go();
     } else {
-        if (doubt_until_ < 0) doubt_until_ = now_ + rules_.doubt_for;
+        if (doubt_until_ < 0) doubt_until_ = now_ + rules_.doubt_for, doubt_since_ = now_;
         lines_.push_back("doubt: " + std::to_string(lacking.size()) + " of " + std::to_string(usable) +
                          " hosts missing at revision " + std::to_string(rev));
         doubted_ = std::move(lacking);
@@ -134,7 +136,7 @@
     if (at == held_.end() && gone != gone_.end() && record.rev <= gone->second) return;
     heard(record.rev);
     doubted_.erase(record.key);
-    if (doubted_.empty()) doubt_until_ = -1;
+    if (doubted_.empty()) doubt_until_ = doubt_since_ = -1;
     if (!record.gone) return put(record);
     gone_[record.key] = record.rev;
     if (gone_.size() > rules_.most) gone_.erase(gone_.begin());
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -16,6 +16,7 @@
 
 #include "membership/member.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -62,7 +63,12 @@
     std::int64_t revision() const { return rev_; }
     Ticks age() const { return told_at_ < 0 ? -1 : now_ - told_at_; } // of the last word; below 0: none yet
     bool synced() const { return synced_; }
+    std::uint64_t words() const { return words_; } // believed so far
     bool doubting() const { return !doubted_.empty(); }
+    // Until a second read confirms what is doubted; a tenth of a millisecond at least.
+    Ticks confirms_in() const {
+        return std::max<Ticks>(1, doubt_since_ < 0 ? 0 : doubt_since_ + rules_.confirm_after - now_);
+    }
     std::size_t unreadable() const { return unreadable_; }
     std::vector<Record> records() const;
     std::int64_t revision_of(const std::string &key) const; // 0: not held
@@ -84,8 +90,9 @@
     void name_fault(const Record &record);
 
     const ViewRules rules_;
-    Ticks now_ = 0, told_at_ = -1, lag_since_ = -1, doubt_until_ = -1, confirm_at_ = -1;
+    Ticks now_ = 0, told_at_ = -1, lag_since_ = -1, doubt_until_ = -1, doubt_since_ = -1, confirm_at_ = -1;
     std::int64_t rev_ = 0;
+    std::uint64_t words_ = 0;
     bool synced_ = false, reading_ = false;
     Ask ask_ = Ask::whole;
     std::map<std::string, Held> held_; // by key
--- a/src/net/http/http.cpp
+++ b/src/net/http/http.cpp
@@ -159,6 +159,8 @@
 }
 
 void Answer::field(std::string_view name, std::string_view value) {
+    for (auto &[wanted, into] : kept_)
+        if (same(name, wanted)) into = value;
     if (same(name, "connection")) {
         if (same(value, "close")) stays_open_ = false;
     } else if (same(name, "transfer-encoding")) {
--- a/src/net/http/http.hpp
+++ b/src/net/http/http.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace pineridge::http {
 
@@ -17,6 +18,10 @@
     // The connection ended: the end of a body without a size.
     void end();
 
+    // The value of this field is wanted: `kept` tells it, empty where there is none.
+    void keep(std::string name) { kept_.emplace_back(std::move(name), std::string()); }
+    const std::string &kept(std::size_t at) const { return kept_.at(at).second; } // in the order of `keep`
+
     bool bad() const { return state_ == State::bad; }
     bool done() const { return state_ == State::done; }
     bool begun() const { return begun_; }
@@ -38,6 +43,7 @@
     std::size_t most_head_, most_body_;
     State state_ = State::head;
     std::string unread_, body_;
+    std::vector<std::pair<std::string, std::string>> kept_;
     std::size_t left_ = 0;
     int status_ = 0;
     bool begun_ = false, stays_open_ = true, chunked_ = false, sized_ = false;
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -46,6 +46,7 @@
     stream_.begin();
     co_await hosts_.warm_up();
     co_await listen();
+    if (own_key_) own_key_->begin();
     asio::co_spawn(io_, sweep(), asio::detached);
     log_(Level::info, "serving at ", start_.listen, ", build ", known_.build, ", clients ",
          start_.limits.clients, ", connections to hosts ", start_.limits.hosts);
@@ -68,7 +69,16 @@
     }
 }
 
-void Driver::leave(std::function<void()> done) { clients_.leave(std::move(done)); }
+// The key goes first, so that nobody is sent here any more; service ends in order meanwhile.
+void Driver::leave(std::function<void()> done) {
+    if (!own_key_) return clients_.leave(std::move(done));
+    const auto left = std::make_shared<int>(2);
+    const auto one = [left, done = std::move(done)] {
+        if (--*left == 0) done();
+    };
+    own_key_->leave(one);
+    clients_.leave(one);
+}
 
 void Driver::move(const Address &discovery, const Address &platform) {
     watch_.move_to(discovery);
@@ -218,20 +228,6 @@
 
 // The list comes from a registry: each change of its view as a change of discovery's would.
 void Driver::begin_registry() {
-    const Registry &from = *start_.registry;
-    membership::etcd::Plot plot;
-    plot.endpoints = start_.registry_at;
-    plot.prefix = from.prefix;
-    plot.token = start_.registry_token;
-    plot.known_file = from.known_file;
-    plot.view.doubt_share = from.doubt_share;
-    plot.view.doubt_least = static_cast<std::size_t>(from.doubt_hosts);
-    plot.view.doubt_for = from.doubt_for;
-    plot.view.confirm_after = from.confirm_after;
-    plot.view.lag_for = from.lag_for;
-    plot.ends.spread = from.spread;
-    plot.times = {from.answer, from.progress, from.quiet, from.look};
-    plot.page = static_cast<std::size_t>(from.page);
     const auto read = [this](const std::string &, std::string_view value) {
         const json parsed = json::parse(value, nullptr, false);
         if (!parsed.is_object()) wrong("value", "not an object");
@@ -239,8 +235,10 @@
         if (host.entry.standing == Standing::gone) wrong("state", "a host that has gone has no key");
         return membership::Member{host.entry, host.address};
     };
+    membership::Access &access = *start_.registry_access;
     registry_.emplace(
-        io_, std::move(plot), read, start_.limits, log_, start_.seed, [this] { return time(); },
+        io_, membership::make_plot(*start_.registry, access, read, start_.seed), read, start_.limits, log_,
+        start_.seed, [this] { return time(); },
         [this](const membership::Listing &told) {
             list::Listing listing;
             for (const membership::Member &member : told.members)
@@ -248,6 +246,15 @@
             take_list(listing);
         });
     registry_->begin();
+    if (start_.registry->own_key.empty()) return;
+    std::ostringstream listen;
+    listen << start_.listen;
+    const json value{{"name", start_.name}, {"listen", listen.str()}, {"started_ms", time() / 10}};
+    own_key_.emplace(io_, access.endpoints,
+                     membership::etcd::OwnKey{start_.registry->own_key, value.dump(), start_.registry->own_life_s,
+                                              start_.registry->answer},
+                     access.token, access.tls.get(), start_.limits, log_, start_.seed,
+                     [this] { return time(); });
 }
 
 void Driver::take_told(const rollout::Told &told) {
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -1,7 +1,8 @@
 // Owns the module: what peers tell becomes calls on it, and its decisions become messages. One thread.
 #pragma once
 
-#include "membership/etcd/source.hpp"
+#include "membership/registration.hpp"
+#include "membership/source.hpp"
 #include "release/office.hpp"
 #include "router/clients/clients.hpp"
 #include "router/hosts/hosts.hpp"
@@ -60,7 +61,8 @@
     const Start &start_;
     const Log &log_;
     std::unique_ptr<Router> module_;
-    std::optional<membership::etcd::Source> registry_; // in discovery's place
+    std::optional<membership::Source> registry_; // in discovery's place
+    std::optional<membership::Registration> own_key_; // in the registry
     std::optional<release::Office> office_; // where releases go by cell
     std::unordered_map<std::string, Rpc> rpcs_;
     hosts::Hosts hosts_;
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -103,14 +103,8 @@
 
 void take_wishes(Start &start, const Wishes &wishes) {
     start.registry = wishes.registry;
-    if (start.registry) {
-        for (const std::string &endpoint : start.registry->endpoints)
-            start.registry_at.push_back(read_address(endpoint, "registry.endpoint.address"));
-        if (const std::string &path = start.registry->token_file; !path.empty()) {
-            std::ifstream file(path);
-            if (!std::getline(file, start.registry_token)) wrong("registry.token-file", "cannot be read");
-        }
-    }
+    if (start.registry)
+        start.registry_access = std::make_shared<membership::Access>(membership::make_access(*start.registry));
     start.release = wishes.release;
     if (!start.release) return;
     check_fits(start, *start.release);
--- a/src/router/start.hpp
+++ b/src/router/start.hpp
@@ -4,6 +4,7 @@
 #include "base/address.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
+#include "membership/access.hpp"
 #include "settings/read.hpp"
 #include "terms/terms.hpp"
 
@@ -28,8 +29,7 @@
     json news; // the platform's newest, in its own form
     json known; // the list as last had, in discovery's form
     std::optional<Registry> registry{}; // holds the list of hosts in discovery's place
-    std::vector<Address> registry_at{}; // its endpoints
-    std::string registry_token{};
+    std::shared_ptr<membership::Access> registry_access{}; // where it is, and by what right
     std::optional<Scheme> release{}; // staged releases by cell; none: one cell for all, as the platform tells
 };
 
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -212,6 +212,32 @@
         doubt.take_span("confirm-after-s", registry.confirm_after);
         doubt.take_span("lag-for-s", registry.lag_for);
     }
+    if (node.text("kind") == "blocking") registry.kind = Registry::Kind::blocking;
+    for (const Node &query : node.all("query")) {
+        query.take_span("wait-s", registry.wait);
+        query.take_span("gap-s", registry.gap);
+        query.take_span("contact-s", registry.contact);
+        if (registry.wait <= registry.gap) query.wrong("wait-s", "not above gap-s");
+    }
+    registry.plaintext = node.flag("plaintext");
+    for (const Node &tls : node.all("tls")) {
+        if (registry.plaintext) tls.wrong("ca", "beside plaintext");
+        registry.authorities = tls.text("ca");
+        registry.certificate = tls.text("certificate");
+        registry.key = tls.text("key");
+        registry.name = tls.text("name");
+        if (registry.certificate.empty() != registry.key.empty())
+            tls.wrong("certificate", "goes with key, and key with it");
+    }
+    if (!registry.plaintext && registry.authorities.empty())
+        node.wrong("plaintext", "not told, and there is no tls");
+    for (const Node &own : node.all("register")) {
+        if (registry.kind != Registry::Kind::etcd) own.wrong("key", "kind blocking registers none");
+        registry.own_key = own.text("key");
+        own.take_count("life-s", registry.own_life_s);
+        if (registry.own_key.rfind(registry.prefix, 0) == 0)
+            own.wrong("key", "under prefix, where hosts are");
+    }
     for (const Node &watch : node.all("watch")) {
         watch.take_span("progress-s", registry.progress);
         watch.take_span("quiet-s", registry.quiet);
--- a/tests/membership/source_test.cpp
+++ b/tests/membership/source_test.cpp
@@ -2,7 +2,8 @@
 // view is set against the registry's own state.
 #undef NDEBUG
 #include "list_value.hpp"
-#include "membership/etcd/source.hpp"
+#include "membership/etcd/follower.hpp"
+#include "membership/source.hpp"
 #include "standins/registry/registry.hpp"
 
 #include <cassert>
@@ -35,17 +36,20 @@
     Registry &registry(int at = 0) { return *registries_[static_cast<std::size_t>(at)]; }
     static std::string key(const std::string &id) { return "/hosts/" + id; }
     void begin() {
-        etcd::Plot plot;
+        Plot plot;
         for (const auto &one : registries_)
             plot.endpoints.push_back(read_address(one->address(), "endpoint"));
         plot.prefix = "/hosts/";
         plot.known_file = known;
-        plot.times = {5000, 1000, 4000, 3000};
+        plot.quiet = 4000;
         plot.ends = {500, 2000, 0};
         plot.view.doubt_for = 10000;
         plot.view.confirm_after = 3000;
         plot.view.lag_for = 8000;
-        plot.page = 2;
+        plot.follow = [](View &view, const std::string &authority) {
+            return std::make_shared<etcd::Follower>(view, read_value, "/hosts/", authority, "",
+                                                    etcd::Times{5000, 1000, 4000, 3000}, 2);
+        };
         source.emplace(
             io, plot, read_value, limits, log, 7, [this] { return time(); },
             [this](const Listing &told) { take(told); });
@@ -94,7 +98,7 @@
     Limits limits{};
     std::map<std::string, Standing> list;
     std::string known;
-    std::optional<etcd::Source> source;
+    std::optional<Source> source;
 };
 
 void a_list_is_read_in_pages_and_followed() {
--- a/tests/membership/world.hpp
+++ b/tests/membership/world.hpp
@@ -20,7 +20,7 @@
         config["known"]["servers"] = json::array();
         std::ofstream(town.folder / "config.json") << config.dump();
         std::ofstream(town.folder / "settings.xml")
-            << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/"><endpoint address=")"
+            << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/" plaintext="true"><endpoint address=")"
             << registry.address()
             << R"("/><watch progress-s="0.1" quiet-s="0.5" look-s="0.4" answer-s="0.5"/></registry></pineridge>)";
         start = router::read_start_file((town.folder / "config.json").string(),
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -67,23 +67,44 @@
 }
 
 void a_registry_is_read() {
-    const std::string head = R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/h/">)";
-    const Wishes wishes =
-        read_wishes(head + R"(<endpoint address="127.0.0.1:1"/><endpoint address="127.0.0.1:2"/>
-        <doubt share="0.25" for-s="2"/><watch quiet-s="3" page="9"/></registry></pineridge>)",
-                    "f.xml");
-    const Registry &registry = *wishes.registry;
+    const auto text = [](const std::string &attributes, const std::string &inside) {
+        return R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/h/" )" + attributes +
+               R"(><endpoint address="127.0.0.1:1"/>)" + inside + "</registry></pineridge>";
+    };
+    const Registry registry = *read_wishes(text("plaintext=\"true\"", R"(<endpoint address="127.0.0.1:2"/>
+        <doubt share="0.25" for-s="2"/><watch quiet-s="3" page="9"/><register key="/routers/a" life-s="5"/>)"),
+                                           "f.xml")
+                                   .registry;
     assert(registry.endpoints.size() == 2 && registry.prefix == "/h/" && registry.doubt_share == 0.25);
     assert(registry.doubt_for == 20000 && registry.quiet == 30000 && registry.page == 9 &&
            registry.look == 100000);
-    try {
-        read_wishes(
-            head + R"(<endpoint address="a"/><watch progress-s="2" quiet-s="1"/></registry></pineridge>)",
-            "f.xml");
-        assert(false);
-    } catch (const BadInput &bad) {
-        assert(std::string(bad.what()) == "f.xml:1: watch.quiet-s: not above progress-s");
-    }
+    assert(registry.plaintext && registry.kind == Registry::Kind::etcd && registry.own_key == "/routers/a" &&
+           registry.own_life_s == 5);
+    const Registry asked = *read_wishes(text("kind=\"blocking\"", R"(<query wait-s="9" gap-s="0.1"/>
+        <tls ca="/ca" certificate="/c" key="/k" name="n"/>)"),
+                                        "f.xml")
+                                .registry;
+    assert(asked.kind == Registry::Kind::blocking && asked.wait == 90000 && asked.gap == 1000 &&
+           asked.authorities == "/ca" && asked.certificate == "/c" && asked.key == "/k" && asked.name == "n");
+    const auto fault = [&](const std::string &attributes, const std::string &inside) -> std::string {
+        try {
+            read_wishes(text(attributes, inside), "f.xml");
+        } catch (const BadInput &bad) {
+            return bad.what();
+        }
+        return "";
+    };
+    const std::string plain = "plaintext=\"true\"";
+    assert(fault(plain, R"(<watch progress-s="2" quiet-s="1"/>)") ==
+           "f.xml:1: watch.quiet-s: not above progress-s");
+    assert(fault("", "") == "f.xml:1: registry.plaintext: not told, and there is no tls");
+    assert(fault(plain, R"(<tls ca="/ca"/>)") == "f.xml:1: tls.ca: beside plaintext");
+    assert(fault("", R"(<tls ca="/ca" certificate="/c"/>)") ==
+           "f.xml:1: tls.certificate: goes with key, and key with it");
+    assert(fault(plain, R"(<register key="/h/me"/>)") == "f.xml:1: register.key: under prefix, where hosts are");
+    assert(fault(plain + " kind=\"blocking\"", R"(<register key="/r"/>)") ==
+           "f.xml:1: register.key: kind blocking registers none");
+    assert(fault(plain + " kind=\"zoo\"", "").find("f.xml:1: ") == 0);
 }
 
 // An entity that names a file is not read.
