Tests of TLS, the own key, blocking queries and HTTP/2 by its bytes; registry sub-commands

GOAWAY, RST_STREAM, windows that never open, absurd lengths, endless fragments and bytes cut anywhere were named in the issue and had no tests. Four faults were found by them and mended: a call that we reset was noticed only by the next bytes; a frame that may not be left the connection open until it was quiet; a renewal without an answer was forgotten by the next one; a body that is no array counted as an empty list. dump, watch and diff show what a registry holds and how it differs from the list a router kept. The stand-in registry has leases and TLS, and finds its history by revision, for the runs with many watchers.

--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -15,5 +15,6 @@
 Command check(CLI::App &app);
 Command version(CLI::App &app);
 Command release(CLI::App &app);
+Command registry(CLI::App &app);
 
 } // namespace pineridge::cli
--- a/src/membership/blocking/entries.cpp
+++ b/src/membership/blocking/entries.cpp
@@ -57,35 +57,35 @@
         return true;
     }
     bool on_string(json::string_view part, std::size_t size, json::error_code &ec) {
-        return on_string_part(part, size, ec);
+        return on_string_part(part, size, ec) && single(ec);
     }
     bool on_number_part(json::string_view, json::error_code &) { return true; }
-    bool on_int64(std::int64_t number, json::string_view, json::error_code &) {
+    bool on_int64(std::int64_t number, json::string_view, json::error_code &ec) {
         if (depth == 2 && field == Field::rev) entry.rev = number;
-        return true;
+        return single(ec);
     }
-    bool on_uint64(std::uint64_t, json::string_view, json::error_code &) { return true; }
-    bool on_double(double, json::string_view, json::error_code &) { return true; }
-    bool on_bool(bool, json::error_code &) { return true; }
-    bool on_null(json::error_code &) { return true; } // a key without a value
+    bool on_uint64(std::uint64_t, json::string_view, json::error_code &ec) { return single(ec); }
+    bool on_double(double, json::string_view, json::error_code &ec) { return single(ec); }
+    bool on_bool(bool, json::error_code &ec) { return single(ec); }
+    bool on_null(json::error_code &ec) { return single(ec); } // a key without a value
     bool on_comment_part(json::string_view, json::error_code &) { return true; }
     bool on_comment(json::string_view, json::error_code &) { return true; }
 
+    bool refuse(const char *why, json::error_code &ec) {
+        fault = why;
+        ec = json::error::syntax;
+        return false;
+    }
+    // A value that is no array and no object stands inside an entry only.
+    bool single(json::error_code &ec) { return depth >= 2 || refuse("not an array of entries", ec); }
     bool step_in(bool sound, json::error_code &ec) {
-        if (!sound) {
-            fault = "not an array of entries";
-            ec = json::error::syntax;
-            return false;
-        }
+        if (!sound) return refuse("not an array of entries", ec);
         ++depth;
         return true;
     }
     bool finish(json::error_code &ec) {
-        if (entry.key.empty() || long_key || entry.rev <= 0) {
-            fault = "an entry without a key or an index";
-            ec = json::error::syntax;
-            return false;
-        }
+        if (entry.key.empty() || long_key || entry.rev <= 0)
+            return refuse("an entry without a key or an index", ec);
         if (long_value)
             entry.fault = "a value over " + std::to_string(most_value) + " bytes";
         else
--- a/src/membership/etcd/follower.cpp
+++ b/src/membership/etcd/follower.cpp
@@ -32,10 +32,17 @@
 
 std::string Follower::output() {
     std::string bytes = session_.output();
-    if (!session_.fault().empty()) fail(session_.fault());
+    take_events(); // a call that we reset ends as its frame is made
+    bytes += session_.output();
     return bytes;
 }
 
+void Follower::take_events() {
+    if (!session_.fault().empty()) fail(session_.fault());
+    http2::Event event{};
+    while (!dead() && session_.take(event)) take(event);
+}
+
 void Follower::go_on() {
     switch (view_.ask()) {
     case Ask::whole:
@@ -78,9 +85,8 @@
 
 bool Follower::feed(std::string_view bytes, Ticks now) {
     now_ = std::max(now_, now);
-    if (!session_.feed(bytes)) fail(session_.fault());
-    http2::Event event{};
-    while (!dead() && session_.take(event)) take(event);
+    session_.feed(bytes);
+    take_events();
     return !dead();
 }
 
--- a/src/membership/etcd/follower.hpp
+++ b/src/membership/etcd/follower.hpp
@@ -36,6 +36,7 @@
     void go_on(); // what the view asks for next
     void read_page(const std::string &from);
     void open_watch();
+    void take_events();
     void take(const http2::Event &event);
     void take_page(const std::string &bytes);
     void take_watch(const std::string &bytes);
--- a/src/membership/etcd/registrar.cpp
+++ b/src/membership/etcd/registrar.cpp
@@ -28,7 +28,9 @@
 
 // The next step, once the one before is answered.
 void Registrar::go_on() {
-    if (dead() || over_ || grant_call_ >= 0 || put_call_ >= 0 || delete_call_ >= 0 || revoke_call_ >= 0) return;
+    if (dead() || over_ || grant_call_ >= 0 || put_call_ >= 0 || look_call_ >= 0 || delete_call_ >= 0 ||
+        revoke_call_ >= 0)
+        return;
     if (leaving_) {
         if (!deleted_ && lease_.placed) {
             etcdserverpb::DeleteRangeRequest request;
@@ -43,8 +45,12 @@
         }
         return;
     }
-    if (lease_.id != 0 && now_ >= lease_.until) lease_ = {}; // ran out while nobody renewed it
-    if (lease_.id == 0) {
+    if (lease_.id != 0 && !std::exchange(looked_, true)) {
+        etcdserverpb::LeaseTimeToLiveRequest request;
+        request.set_id(lease_.id);
+        look_call_ = call("/etcdserverpb.Lease/LeaseTimeToLive", request);
+    } else if (lease_.id == 0) {
+        looked_ = true;
         etcdserverpb::LeaseGrantRequest request;
         request.set_ttl(own_.life_s);
         grant_call_ = call("/etcdserverpb.Lease/LeaseGrant", request);
@@ -70,24 +76,30 @@
     etcdserverpb::LeaseKeepAliveRequest request;
     request.set_id(lease_.id);
     session_.send(keep_call_, request.SerializeAsString(), false);
-    due_ = now_ + own_.answer;
+    if (due_ < 0) due_ = now_ + own_.answer; // of the eldest renewal without an answer
     renew_at_ = now_ + std::max<Ticks>(1, own_.life_s * 10000 / 3);
 }
 
 bool Registrar::feed(std::string_view bytes, Ticks now) {
     now_ = std::max(now_, now);
-    if (!session_.feed(bytes)) fail(session_.fault());
-    http2::Event event{};
-    while (!dead() && session_.take(event)) take(event);
+    session_.feed(bytes);
+    take_events();
     return !dead();
 }
 
 std::string Registrar::output() {
     std::string bytes = session_.output();
-    if (!session_.fault().empty()) fail(session_.fault());
+    take_events(); // a call that we reset ends as its frame is made
+    bytes += session_.output();
     return bytes;
 }
 
+void Registrar::take_events() {
+    if (!session_.fault().empty()) fail(session_.fault());
+    http2::Event event{};
+    while (!dead() && session_.take(event)) take(event);
+}
+
 void Registrar::take(const http2::Event &event) {
     using Kind = http2::Event::Kind;
     if (event.kind == Kind::going_away) return fail("the member is going away");
@@ -100,6 +112,11 @@
         if (!sound || lease_.id == 0) return fail("no lease: " + event.text);
         return go_on();
     }
+    if (event.call == look_call_) {
+        look_call_ = due_ = -1;
+        if (!sound) return fail("no word of the lease: " + event.text);
+        return go_on();
+    }
     if (event.call == put_call_) {
         put_call_ = due_ = -1;
         // 5: the lease is not found. Another is asked for.
@@ -128,14 +145,18 @@
     if (event.call == grant_call_) {
         etcdserverpb::LeaseGrantResponse told;
         if (!told.ParseFromString(event.data) || told.id() == 0) return fail("a lease that cannot be read");
-        lease_ = {told.id(), now_ + std::max<std::int64_t>(1, told.ttl()) * 10000, false};
+        lease_ = {told.id(), false};
+    }
+    if (event.call == look_call_) {
+        etcdserverpb::LeaseTimeToLiveResponse told;
+        if (!told.ParseFromString(event.data)) return fail("a lease that cannot be read");
+        if (told.ttl() <= 0) lease_ = {}; // ran out while nobody renewed it, and the key with it
     }
     if (event.call == keep_call_) {
         etcdserverpb::LeaseKeepAliveResponse told;
         if (!told.ParseFromString(event.data)) return fail("a renewal that cannot be read");
         due_ = -1;
         if (told.ttl() > 0) {
-            lease_.until = now_ + told.ttl() * 10000;
             return;
         }
         // The lease has run out, and the key with it: both anew.
--- a/src/membership/etcd/registrar.hpp
+++ b/src/membership/etcd/registrar.hpp
@@ -20,7 +20,6 @@
     // What outlives a connection: a new one goes on with the same lease while it stands.
     struct Lease {
         std::int64_t id = 0; // 0: none
-        Ticks until = 0; // as far as is known
         bool placed = false; // the key stands under it
     };
 
@@ -37,6 +36,7 @@
 
   private:
     void go_on();
+    void take_events();
     void take(const http2::Event &event);
     void take_message(const http2::Event &event);
     std::int32_t call(const char *method, const google::protobuf::MessageLite &message);
@@ -45,9 +45,10 @@
     const OwnKey own_;
     const std::string authority_, token_;
     http2::Session session_;
-    std::int32_t grant_call_ = -1, put_call_ = -1, keep_call_ = -1, delete_call_ = -1, revoke_call_ = -1;
+    std::int32_t grant_call_ = -1, put_call_ = -1, look_call_ = -1, keep_call_ = -1, delete_call_ = -1, revoke_call_ = -1;
     Ticks now_ = 0, renew_at_ = -1, due_ = -1;
     bool leaving_, deleted_ = false, over_ = false;
+    bool looked_ = false; // whether a lease from before this connection still stands
 };
 
 } // namespace pineridge::membership::etcd
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -70,6 +70,7 @@
         return std::max<Ticks>(1, doubt_since_ < 0 ? 0 : doubt_since_ + rules_.confirm_after - now_);
     }
     std::size_t unreadable() const { return unreadable_; }
+    const std::map<std::string, std::int64_t> &faulty() const { return faulty_; } // keys, with their revision
     std::vector<Record> records() const;
     std::int64_t revision_of(const std::string &key) const; // 0: not held
     std::size_t size() const { return held_.size(); }
--- a/src/net/http2/session.cpp
+++ b/src/net/http2/session.cpp
@@ -195,6 +195,8 @@
     while ((size = nghttp2_session_mem_send(state_->session, &part)) > 0)
         bytes.append(reinterpret_cast<const char *>(part), static_cast<std::size_t>(size));
     if (size < 0 && fault_.empty()) fault_ = nghttp2_strerror(static_cast<int>(size));
+    // nghttp2 has said GOAWAY for a frame that may not be, and reads no more.
+    if (fault_.empty() && !nghttp2_session_want_read(state_->session)) fault_ = "a frame that may not be";
     return bytes;
 }
 
--- a/src/net/http2/session.hpp
+++ b/src/net/http2/session.hpp
@@ -37,7 +37,7 @@
     void ping();
 
     bool feed(std::string_view bytes); // false: the connection is of no further use, and `fault` tells why
-    std::string output(); // bytes to be written now
+    std::string output(); // bytes to be written now; `fault` may be told by then
     bool take(Event &event);
     const std::string &fault() const { return fault_; }
 
--- a/standins/registry/registry.cpp
+++ b/standins/registry/registry.cpp
@@ -1,11 +1,13 @@
 #include "standins/registry/registry.hpp"
 
 #include "membership/etcd/rpc.grpc.pb.h"
+#include "standins/http/place.hpp"
 
 #include <algorithm>
 #include <condition_variable>
 #include <grpcpp/grpcpp.h>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -13,7 +15,7 @@
 
 namespace pb = etcdserverpb;
 
-struct Registry::State final : pb::KV::Service, pb::Watch::Service {
+struct Registry::State final : pb::KV::Service, pb::Watch::Service, pb::Lease::Service {
     using Pairs = std::map<std::string, pb::KeyValue>;
 
     mutable std::mutex lock;
@@ -30,6 +32,12 @@
     int reads = 0, watches = 0;
     std::unique_ptr<grpc::Server> server;
     int port = 0;
+    std::shared_ptr<grpc::ServerCredentials> credentials = grpc::InsecureServerCredentials();
+    boost::asio::io_context io;
+    std::optional<Place> place; // the port stays this one's while it is stopped
+    std::map<std::int64_t, std::pair<std::int64_t, std::set<std::string>>> leases; // life in seconds, keys
+    std::int64_t next_lease = 100;
+    int renewals = 0;
 
     Pairs at(std::int64_t when) const {
         Pairs pairs;
@@ -86,6 +94,75 @@
         return grpc::Status::OK;
     }
 
+    grpc::Status Put(grpc::ServerContext *, const pb::PutRequest *asked, pb::PutResponse *) override {
+        {
+            const std::lock_guard hold(lock);
+            if (asked->lease() != 0) {
+                const auto at = leases.find(asked->lease());
+                if (at == leases.end())
+                    return {grpc::StatusCode::NOT_FOUND, "etcdserver: requested lease not found"};
+                at->second.second.insert(asked->key());
+            }
+        }
+        write({{0, asked->key(), asked->value(), false}});
+        return grpc::Status::OK;
+    }
+    grpc::Status DeleteRange(grpc::ServerContext *, const pb::DeleteRangeRequest *asked,
+                             pb::DeleteRangeResponse *answer) override {
+        write({{0, asked->key(), "", true}});
+        answer->set_deleted(1);
+        return grpc::Status::OK;
+    }
+    grpc::Status LeaseGrant(grpc::ServerContext *, const pb::LeaseGrantRequest *asked,
+                            pb::LeaseGrantResponse *answer) override {
+        const std::lock_guard hold(lock);
+        answer->set_id(++next_lease);
+        answer->set_ttl(asked->ttl());
+        leases[next_lease].first = asked->ttl();
+        return grpc::Status::OK;
+    }
+    void end_lease(std::int64_t id) {
+        std::set<std::string> keys;
+        {
+            const std::lock_guard hold(lock);
+            const auto at = leases.find(id);
+            if (at == leases.end()) return;
+            keys = at->second.second;
+            leases.erase(at);
+        }
+        for (const std::string &key : keys) write({{0, key, "", true}});
+    }
+    grpc::Status LeaseRevoke(grpc::ServerContext *, const pb::LeaseRevokeRequest *asked,
+                             pb::LeaseRevokeResponse *) override {
+        end_lease(asked->id());
+        return grpc::Status::OK;
+    }
+    grpc::Status LeaseTimeToLive(grpc::ServerContext *, const pb::LeaseTimeToLiveRequest *asked,
+                                 pb::LeaseTimeToLiveResponse *answer) override {
+        const std::lock_guard hold(lock);
+        const auto at = leases.find(asked->id());
+        answer->set_id(asked->id());
+        answer->set_ttl(at == leases.end() ? -1 : at->second.first);
+        return grpc::Status::OK;
+    }
+    grpc::Status LeaseKeepAlive(
+        grpc::ServerContext *,
+        grpc::ServerReaderWriter<pb::LeaseKeepAliveResponse, pb::LeaseKeepAliveRequest> *stream) override {
+        for (pb::LeaseKeepAliveRequest asked; stream->Read(&asked);) {
+            pb::LeaseKeepAliveResponse answer;
+            answer.set_id(asked.id());
+            {
+                const std::lock_guard hold(lock);
+                if (muted) continue;
+                const auto at = leases.find(asked.id());
+                answer.set_ttl(at == leases.end() ? 0 : at->second.first);
+                ++renewals;
+            }
+            stream->Write(answer);
+        }
+        return grpc::Status::OK;
+    }
+
     using Stream = grpc::ServerReaderWriter<pb::WatchResponse, pb::WatchRequest>;
 
     grpc::Status Watch(grpc::ServerContext *context, Stream *stream) override {
@@ -142,8 +219,10 @@
             if (muted) continue;
             std::vector<pb::Event> events;
             std::int64_t until = from;
-            for (const Word &word : log) {
-                if (word.rev < from) continue;
+            const auto first = std::lower_bound(log.begin(), log.end(), from,
+                                                [](const Word &word, std::int64_t rev) { return word.rev < rev; });
+            for (auto at = first; at != log.end(); ++at) {
+                const Word &word = *at;
                 until = word.rev + 1;
                 if (word.key < create.key() || word.key >= create.range_end() || untold.count(word.rev))
                     continue;
@@ -184,12 +263,12 @@
     void start() {
         grpc::ServerBuilder builder;
         int chosen = 0;
-        builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(),
-                                 &chosen);
+        if (!place) port = place.emplace(io).port();
+        builder.AddListeningPort("127.0.0.1:" + std::to_string(port), credentials, &chosen);
         builder.RegisterService(static_cast<pb::KV::Service *>(this));
         builder.RegisterService(static_cast<pb::Watch::Service *>(this));
+        builder.RegisterService(static_cast<pb::Lease::Service *>(this));
         server = builder.BuildAndStart();
-        if (server) port = chosen;
     }
     void stop() {
         {
@@ -202,7 +281,17 @@
     }
 };
 
-Registry::Registry() : state_(std::make_unique<State>()) { state_->start(); }
+Registry::Registry(const Secure *secure) : state_(std::make_unique<State>()) {
+    if (secure) {
+        grpc::SslServerCredentialsOptions options(
+            secure->authorities.empty() ? GRPC_SSL_DONT_REQUEST_CLIENT_CERTIFICATE
+                                        : GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY);
+        options.pem_key_cert_pairs.push_back({secure->key, secure->certificate});
+        options.pem_root_certs = secure->authorities;
+        state_->credentials = grpc::SslServerCredentials(options);
+    }
+    state_->start();
+}
 Registry::~Registry() { state_->stop(); }
 
 std::string Registry::address() const { return "127.0.0.1:" + std::to_string(state_->port); }
@@ -265,6 +354,22 @@
     const std::lock_guard hold(state_->lock);
     state_->on_page = std::move(act);
 }
+void Registry::run_out() {
+    std::vector<std::int64_t> all;
+    {
+        const std::lock_guard hold(state_->lock);
+        for (const auto &[id, lease] : state_->leases) all.push_back(id);
+    }
+    for (const std::int64_t id : all) state_->end_lease(id);
+}
+int Registry::leases() const {
+    const std::lock_guard hold(state_->lock);
+    return static_cast<int>(state_->leases.size());
+}
+int Registry::renewals() const {
+    const std::lock_guard hold(state_->lock);
+    return state_->renewals;
+}
 int Registry::reads() const {
     const std::lock_guard hold(state_->lock);
     return state_->reads;
--- a/standins/registry/registry.hpp
+++ b/standins/registry/registry.hpp
@@ -19,9 +19,14 @@
     bool gone;
 };
 
+// PEM texts; with authorities told, clients must show a certificate of theirs.
+struct Secure {
+    std::string certificate, key, authorities{};
+};
+
 class Registry {
   public:
-    Registry();
+    explicit Registry(const Secure *secure = nullptr);
     ~Registry();
 
     std::string address() const;
@@ -44,6 +49,9 @@
     void forget(); // data lost: empty, and at a low revision
     void on_page(std::function<void()> act); // called before each page but the first is made
 
+    void run_out(); // every lease has run out: their keys are gone
+    int leases() const; // that stand
+    int renewals() const;
     int reads() const; // pages
     int watches() const;
 
--- a/tests/membership/source_test.cpp
+++ b/tests/membership/source_test.cpp
@@ -1,14 +1,11 @@
 // The etcd source on loopback against a registry on grpc++: the hard cases, decided by events. After each the
 // view is set against the registry's own state.
 #undef NDEBUG
-#include "list_value.hpp"
 #include "membership/etcd/follower.hpp"
-#include "membership/source.hpp"
+#include "source_world.hpp"
 #include "standins/registry/registry.hpp"
 
-#include <cassert>
 #include <filesystem>
-#include <iostream>
 #include <unistd.h>
 
 using namespace pineridge;
@@ -17,21 +14,13 @@
 
 namespace {
 
-std::string value(const std::string &state, int started = 0) {
-    return R"({"id":"x","addr":"127.0.0.1:1","state":")" + state + R"(","started_ms":)" +
-           std::to_string(started) + "}";
-}
+std::string value(const std::string &state, int started = 0) { return host_value(state, started); }
 
-struct World {
-    explicit World(int registries = 1)
-        : registries_(static_cast<std::size_t>(registries)), log(logged, "n1", Level::info) {
+struct World : SourceWorld {
+    explicit World(int registries = 1) : registries_(static_cast<std::size_t>(registries)) {
         for (auto &one : registries_) one = std::make_unique<Registry>();
         for (const char *id : {"a", "b", "c", "d"}) registry().put(key(id), value("in_service"));
     }
-    ~World() {
-        if (source) source->stop();
-        io.run_for(std::chrono::milliseconds(50));
-    }
 
     Registry &registry(int at = 0) { return *registries_[static_cast<std::size_t>(at)]; }
     static std::string key(const std::string &id) { return "/hosts/" + id; }
@@ -50,55 +39,14 @@
             return std::make_shared<etcd::Follower>(view, read_value, "/hosts/", authority, "",
                                                     etcd::Times{5000, 1000, 4000, 3000}, 2);
         };
-        source.emplace(
-            io, plot, read_value, limits, log, 7, [this] { return time(); },
-            [this](const Listing &told) { take(told); });
-        source->begin();
-    }
-    Ticks time() const {
-        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - began)
-                   .count() /
-               100;
-    }
-    void take(const Listing &told) {
-        for (const Member &member : told.members) {
-            const std::string &id = member.entry.id;
-            if (member.entry.standing == Standing::gone)
-                list.erase(id);
-            else
-                list[id] = member.entry.standing;
-        }
-    }
-    void until(const std::function<bool()> &held) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str() << text() << "\n";
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
-    }
-    std::string text() const {
-        std::string all;
-        for (const auto &[id, standing] : list) all += id + (standing == Standing::ready ? "+" : "-");
-        return all;
-    }
-    void until_list(const std::string &wanted) {
-        until([&] { return text() == wanted; });
+        SourceWorld::begin(std::move(plot));
     }
-    bool said(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
     void watched(int times = 1) {
         until([&] { return registry().watches() >= times && source->view().synced(); });
     }
 
-    boost::asio::io_context io;
     std::vector<std::unique_ptr<Registry>> registries_;
-    std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
-    std::ostringstream logged;
-    Log log;
-    Limits limits{};
-    std::map<std::string, Standing> list;
     std::string known;
-    std::optional<Source> source;
 };
 
 void a_list_is_read_in_pages_and_followed() {
--- /dev/null
+++ b/tests/membership/source_world.hpp
@@ -0,0 +1,79 @@
+// A source with its view, told lists and a log, driven until events; for tests against any stand-in registry.
+#pragma once
+
+#include "list_value.hpp"
+#include "membership/source.hpp"
+
+#include <cassert>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <source_location>
+#include <sstream>
+
+namespace pineridge::membership {
+
+inline std::string host_value(const std::string &state, int started = 0) {
+    return R"({"id":"x","addr":"127.0.0.1:1","state":")" + state + R"(","started_ms":)" +
+           std::to_string(started) + "}";
+}
+
+struct SourceWorld {
+    SourceWorld() : log(logged, "n1", Level::info) {}
+    ~SourceWorld() {
+        if (source) source->stop();
+        io.run_for(std::chrono::milliseconds(50));
+    }
+
+    void begin(Plot plot) {
+        source.emplace(
+            io, std::move(plot), read_value, limits, log, 7, [this] { return time(); },
+            [this](const Listing &told) { take(told); });
+        source->begin();
+    }
+    Ticks time() const {
+        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - began)
+                   .count() /
+               100;
+    }
+    void take(const Listing &told) {
+        for (const Member &member : told.members) {
+            const std::string &id = member.entry.id;
+            if (member.entry.standing == Standing::gone)
+                list.erase(id);
+            else
+                list[id] = member.entry.standing;
+        }
+    }
+    void until(const std::function<bool()> &held,
+               const std::source_location &place = std::source_location::current()) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!held()) {
+            if (std::chrono::steady_clock::now() > end)
+                std::cerr << "waited in vain at line " << place.line() << "\n" << logged.str() << text() << "\n";
+            assert(std::chrono::steady_clock::now() < end);
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+    std::string text() const { // "a+b-": a is ready, b drains
+        std::string all;
+        for (const auto &[id, standing] : list) all += id + (standing == Standing::ready ? "+" : "-");
+        return all;
+    }
+    void until_list(const std::string &wanted,
+                    const std::source_location &place = std::source_location::current()) {
+        until([&] { return text() == wanted; }, place);
+    }
+    bool said(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+
+    boost::asio::io_context io;
+    std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    std::ostringstream logged;
+    Log log;
+    Limits limits{};
+    std::map<std::string, Standing> list;
+    std::optional<Source> source;
+};
+
+} // namespace pineridge::membership
