--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -29,8 +29,7 @@
 
 // The list as the module wants it.
 struct Listing {
-    bool whole = false;
-    std::vector<Member> members{};
+    std::vector<Member> members{}; // those that changed; the ones that left are gone
 };
 
 } // namespace pineridge::membership
--- a/src/net/tls/openssl.cpp
+++ b/src/net/tls/openssl.cpp
@@ -2,10 +2,13 @@
 #include "net/tls/tls.hpp"
 
 #include <array>
+#include <cerrno>
+#include <cstring>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
 #include <openssl/x509v3.h>
 #include <sys/stat.h>
+#include <unistd.h>
 #include <utility>
 
 namespace pineridge::tls {
@@ -152,6 +155,9 @@
         const auto wrong = [&](const std::string &path, const char *otherwise) {
             throw BadInput(path + ": " + last_error(otherwise));
         };
+        for (const std::string *path : {&files_.authorities, &files_.certificate, &files_.key})
+            if (!path->empty() && ::access(path->c_str(), R_OK) != 0)
+                throw BadInput(*path + ": " + std::strerror(errno));
         ERR_clear_error();
         Context context(SSL_CTX_new(TLS_client_method()));
         SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION);
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -15,7 +15,7 @@
     : io_(io), start_(start), log_(log), module_(make_router(start.terms, start.seed)),
       hosts_(io, start, log), clients_(io, start, log, *this),
       watch_(
-          io, start, log, [this](const list::Listing &listing) { take_list(listing); },
+          io, start, log, [this](const membership::Listing &listing) { take_list(listing); },
           [this] { module().list_failed(); }),
       stream_(io, start, log, [this](const rollout::Told &told) { take_told(told); }),
       votes_(io, start, log, [this](const News &news) { take_news(news); }), wake_(io),
@@ -28,10 +28,11 @@
 }
 
 void Driver::begin() {
-    if (!start_.known.is_null()) {
+    // Where a registry holds the list, what discovery once told would never be taken back.
+    if (!start_.known.is_null() && !start_.registry) {
         list::Listing known = list::read_listing(start_.known, start_.names);
         known.whole = true;
-        take_list(known);
+        watch_.take(known);
     }
     if (!start_.news.is_null()) take_news(rollout::read_news(start_.news));
     pull();
@@ -210,9 +211,9 @@
 
 // --- what discovery and the platform tell ---
 
-void Driver::take_list(const list::Listing &listing) {
+void Driver::take_list(const membership::Listing &listing) {
     std::vector<HostEntry> entries;
-    for (const list::Listed &host : listing.hosts) {
+    for (const membership::Member &host : listing.members) {
         const HostEntry &entry = host.entry;
         entries.push_back(entry);
         if (entry.standing == Standing::gone)
@@ -220,10 +221,8 @@
         else
             hosts_.put(entry.id, host.address, entry.standing == Standing::ready, entry.started, entry.build);
     }
-    if (listing.whole) hosts_.keep_only(entries);
-    if (!start_.registry) watch_.stands_at(listing.version);
-    module().list(entries, listing.whole);
-    log_(Level::debug, "list ", listing.version, ", entries ", entries.size());
+    module().list(entries, false);
+    log_(Level::debug, "list: entries ", entries.size());
 }
 
 // The list comes from a registry: each change of its view as a change of discovery's would.
@@ -231,20 +230,15 @@
     const auto read = [this](const std::string &, std::string_view value) {
         const json parsed = json::parse(value, nullptr, false);
         if (!parsed.is_object()) wrong("value", "not an object");
-        const list::Listed host = list::read_host(parsed, start_.names);
+        membership::Member host = list::read_host(parsed, start_.names);
         if (host.entry.standing == Standing::gone) wrong("state", "a host that has gone has no key");
-        return membership::Member{host.entry, host.address};
+        return host;
     };
     membership::Access &access = *start_.registry_access;
     registry_.emplace(
         io_, membership::make_plot(*start_.registry, access, read, start_.seed), read, start_.limits, log_,
         start_.seed, [this] { return time(); },
-        [this](const membership::Listing &told) {
-            list::Listing listing;
-            for (const membership::Member &member : told.members)
-                listing.hosts.push_back({member.entry, member.address});
-            take_list(listing);
-        });
+        [this](const membership::Listing &told) { take_list(told); });
     registry_->begin();
     if (start_.registry->own_key.empty()) return;
     std::ostringstream listen;
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -48,7 +48,7 @@
     Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
     void answer(Rpc &rpc, std::string bytes);
     void forget_if_over(const std::string &id);
-    void take_list(const list::Listing &listing);
+    void take_list(const membership::Listing &listing);
     void begin_registry();
     void take_told(const rollout::Told &told);
     void take_news(News news);
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -3,7 +3,6 @@
 #include "net/quiet.hpp"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace pineridge::router::hosts {
 
@@ -180,16 +179,6 @@
     places_.erase(at);
 }
 
-void Hosts::keep_only(const std::vector<HostEntry> &listed) {
-    std::unordered_set<std::string> ids;
-    for (const HostEntry &entry : listed) ids.insert(entry.id);
-    for (auto at = places_.begin(); at != places_.end();) {
-        const auto next = std::next(at);
-        if (!ids.count(at->first)) remove(std::string(at->first));
-        at = next;
-    }
-}
-
 // Opens connections before the first clients come. Stops the first second's RPCs from each waiting for a
 // new one, while clients open ever more of theirs.
 asio::awaitable<void> Hosts::warm_up() {
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -27,7 +27,6 @@
     // What the list says of a host; `started` and `build` tell one process at an address from the next.
     void put(const std::string &id, const Address &address, bool ready, Ticks started, int build);
     void remove(const std::string &id);
-    void keep_only(const std::vector<HostEntry> &listed); // a whole list: hosts it lacks have left
 
     // Sends the command; `ended` is called once, never from within this call.
     std::shared_ptr<Call> send(const std::string &id, std::shared_ptr<const clients::Held> held, Ticks span,
--- a/src/router/list/listing.cpp
+++ b/src/router/list/listing.cpp
@@ -2,8 +2,8 @@
 
 namespace pineridge::router::list {
 
-Listed read_host(const json &from, const Names &names) {
-    Listed host{};
+membership::Member read_host(const json &from, const Names &names) {
+    membership::Member host{};
     HostEntry &entry = host.entry;
     entry.id = text(from, "id");
     entry.standing = word<Standing>(from, "state",
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -62,9 +62,26 @@
         whole_due_ = true;
         co_return "";
     }
-    version_ = listing.version;
-    told_(listing);
+    take(listing);
     co_return "";
 }
 
+void Watch::take(const Listing &listing) {
+    version_ = listing.version;
+    ++answers_;
+    std::vector<membership::Record> records;
+    for (const membership::Member &host : listing.hosts)
+        records.push_back(
+            {.key = host.entry.id, .rev = answers_, .gone = host.entry.standing == Standing::gone, .member = host});
+    if (listing.whole) {
+        std::erase_if(records, [](const membership::Record &one) { return one.gone; });
+        view_.begin_read();
+        view_.page(records);
+        view_.end_read(answers_);
+    } else {
+        for (const membership::Record &record : records) view_.change(record);
+    }
+    told_(view_.take().value_or(membership::Listing{}));
+}
+
 } // namespace pineridge::router::list
--- /dev/null
+++ b/standins/program/program.cpp
@@ -0,0 +1,71 @@
+#include "standins/program/program.hpp"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <iostream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+
+extern char **environ;
+
+namespace pineridge::standins {
+
+Program::Program(const std::filesystem::path &folder, const std::string &program, std::vector<std::string> words) {
+    static int count = 0;
+    out_ = folder / ("said-" + std::to_string(++count));
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 1, out_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+    posix_spawn_file_actions_adddup2(&files, 1, 2);
+    words.insert(words.begin(), program);
+    std::vector<char *> argv;
+    for (std::string &word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    const int failed = posix_spawn(&pid_, program.c_str(), &files, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (failed) throw std::runtime_error(program + ": cannot be started");
+}
+
+Program::~Program() {
+    if (over()) return;
+    signal(SIGKILL);
+    waitpid(pid_, nullptr, 0);
+}
+
+bool Program::over() {
+    int status = 0;
+    if (over_ || waitpid(pid_, &status, WNOHANG) == 0) return over_;
+    over_ = true;
+    status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return true;
+}
+
+void Program::signal(int number) const {
+    if (!over_) ::kill(pid_, number);
+}
+
+std::string Program::said() const {
+    std::ostringstream said;
+    said << std::ifstream(out_).rdbuf();
+    return said.str();
+}
+
+Ran run(boost::asio::io_context &io, const std::filesystem::path &folder, const std::string &program,
+        std::vector<std::string> words) {
+    Program one(folder, program, std::move(words));
+    while (!one.over()) io.run_one_for(std::chrono::milliseconds(5));
+    const Ran ran{one.status(), one.said()};
+    if (ran.status != 0) std::cerr << ran.said; // read where a status is not the one wanted
+    return ran;
+}
+
+bool has(const Ran &ran, const std::string &part) {
+    if (ran.said.find(part) != std::string::npos) return true;
+    std::cerr << ran.said << "lacks: " << part << "\n";
+    return false;
+}
+
+} // namespace pineridge::standins
--- /dev/null
+++ b/standins/program/program.hpp
@@ -0,0 +1,41 @@
+// The program as a person or a platform starts it: with its words, its output in a file, while a loop goes on.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace pineridge::standins {
+
+struct Ran {
+    int status; // below 0: ended by a signal
+    std::string said; // standard output and error
+};
+
+class Program {
+  public:
+    // Its output goes to a file in the folder.
+    Program(const std::filesystem::path &folder, const std::string &program, std::vector<std::string> words);
+    ~Program(); // killed, if it still runs
+    Program(const Program &) = delete;
+
+    bool over(); // has it ended?
+    int status() const { return status_; }
+    void signal(int number) const;
+    std::string said() const;
+
+  private:
+    std::filesystem::path out_;
+    int pid_ = 0, status_ = -1;
+    bool over_ = false;
+};
+
+// Until it has ended, while the loop goes on.
+Ran run(boost::asio::io_context &io, const std::filesystem::path &folder, const std::string &program,
+        std::vector<std::string> words);
+
+bool has(const Ran &ran, const std::string &part); // else what was said goes to standard error
+
+} // namespace pineridge::standins
--- a/tests/membership/blocking_test.cpp
+++ b/tests/membership/blocking_test.cpp
@@ -143,6 +143,7 @@
         until_list("a+b+c+d+");
         until([&] { return blocked() > 0; });
     }
+    ~World() { stop(); }
     int blocked() const {
         int all = 0;
         for (const auto &one : registries_) all += one->blocked();
--- /dev/null
+++ b/tests/membership/command_test.cpp
@@ -0,0 +1,100 @@
+// The program against a registry over TLS: the sub-commands as a person calls them, and a daemon that keeps its own key
+// there and takes it away before it ends.
+#undef NDEBUG
+#include "standins/certificates/certificates.hpp"
+#include "standins/program/program.hpp"
+#include "standins/registry/registry.hpp"
+#include "standins/town/town.hpp"
+
+#include <cassert>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+using namespace pineridge;
+using namespace pineridge::standins;
+
+namespace {
+
+void until(asio::io_context &io, const std::function<bool()> &held) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!held()) {
+        assert(std::chrono::steady_clock::now() < end);
+        io.run_one_for(std::chrono::milliseconds(10));
+    }
+}
+
+} // namespace
+
+int main(int, char **argv) {
+    const std::string program = argv[1];
+    asio::io_context io;
+    Town town(io, Plot{});
+    const Authority theirs("theirs"), ours("ours");
+    const Papers server = theirs.issue("127.0.0.1"), mine = ours.issue("router");
+    const Secure secure{server.certificate, server.key, ours.certificate()};
+    Registry registry(&secure);
+    for (const char *id : {"h1", "h2"}) {
+        const Host &host = town.host(id, "north", 1);
+        registry.put(std::string("/hosts/") + id, host.entry().dump());
+    }
+    const auto path = [&](const char *name) { return (town.folder / name).string(); };
+    std::ofstream(path("ca")) << theirs.certificate();
+    std::ofstream(path("certificate")) << mine.certificate;
+    std::ofstream(path("key")) << mine.key;
+    std::ofstream(path("token")) << "token-of-ours\n";
+    town.write_files();
+    std::ofstream(path("settings.xml"))
+        << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/" token-file=")" << path("token")
+        << R"(" known-file=")" << path("known") << R"("><endpoint address=")" << registry.address()
+        << R"("/><watch progress-s="0.2" quiet-s="1" answer-s="1"/><tls ca=")" << path("ca") << R"(" certificate=")"
+        << path("certificate") << R"(" key=")" << path("key")
+        << R"("/><register key="/routers/n1" life-s="2"/></registry></pineridge>)";
+
+    assert(run(io, town.folder, program, {"check", "--settings", path("settings.xml")}).status == 0);
+    const Ran dumped = run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
+    assert(dumped.status == 0 && has(dumped, "revision 3, age ") && has(dumped, "hosts 2, unreadable 0") &&
+           has(dumped, "/hosts/h1 rev 2 ready 127.0.0.1:") && has(dumped, " build 1"));
+    // No list was kept yet.
+    assert(run(io, town.folder, program, {"registry", "diff", "--settings", path("settings.xml")}).status == 2);
+
+    Program daemon(town.folder, program,
+                   {"serve", "--config", path("config.json"), "--settings", path("settings.xml")});
+    until(io, [&] { return registry.held().count("/routers/n1") > 0; });
+    assert(registry.held().at("/routers/n1").find(R"("name":"n1")") != std::string::npos);
+    town.clients.ask("acme", "lookup", "k");
+    until(io, [&] { return town.clients.open() == 0; });
+    assert(town.clients.asked().back().answer == "served");
+    until(io, [&] { return std::filesystem::exists(path("known")); });
+    const Ran same = run(io, town.folder, program, {"registry", "diff", "--settings", path("settings.xml")});
+    assert(same.status == 0 && has(same, "the same"));
+    registry.remove("/hosts/h2");
+    registry.put("/hosts/odd", "{");
+    std::filesystem::copy_file(path("known"), path("kept"));
+    const Ran other = run(io, town.folder, program,
+                          {"registry", "diff", "--settings", path("settings.xml"), "--known", path("kept")});
+    assert(other.status == 1 && has(other, "- /hosts/h2 ") && has(other, "1 differ"));
+
+    Program watch(town.folder, program,
+                  {"registry", "watch", "--settings", path("settings.xml"), "--for-s", "20"});
+    until(io, [&] { return watch.said().find(", hosts 1") != std::string::npos; });
+    Host &host = town.hosts.front();
+    host.state = "terminating";
+    registry.put("/hosts/h1", host.entry().dump());
+    until(io, [&] { return watch.said().find("h1 draining build 1") != std::string::npos; });
+    watch.signal(SIGINT);
+    until(io, [&] { return watch.over(); });
+    assert(watch.status() == 0);
+
+    daemon.signal(SIGTERM);
+    until(io, [&] { return daemon.over(); });
+    assert(daemon.status() == 0 && registry.held().count("/routers/n1") == 0 && registry.leases() == 0);
+    for (const std::string &said : {daemon.said(), dumped.said})
+        assert(said.find("token-of-ours") == std::string::npos && said.find("PRIVATE") == std::string::npos);
+    assert(daemon.said().find("registry.own key=/routers/n1 left=yes") != std::string::npos);
+
+    // A file that is not there is named, and nothing starts.
+    std::filesystem::remove(path("ca"));
+    const Ran refused = run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
+    assert(refused.status == 2 && has(refused, path("ca") + ": "));
+}
--- a/tests/membership/source_world.hpp
+++ b/tests/membership/source_world.hpp
@@ -21,8 +21,10 @@
 
 struct SourceWorld {
     SourceWorld() : log(logged, "n1", Level::info) {}
-    ~SourceWorld() {
-        if (source) source->stop();
+    ~SourceWorld() { stop(); }
+    void stop() { // what the source was handed is needed until here
+        if (!source || std::exchange(stopped, true)) return;
+        source->stop();
         io.run_for(std::chrono::milliseconds(50));
     }
 
@@ -74,6 +76,7 @@
     Limits limits{};
     std::map<std::string, Standing> list;
     std::optional<Source> source;
+    bool stopped = false;
 };
 
 } // namespace pineridge::membership
--- a/tests/membership/tls_test.cpp
+++ b/tests/membership/tls_test.cpp
@@ -72,6 +72,7 @@
         : secure{server.certificate, server.key, clients}, registry(&secure) {
         registry.put("/hosts/a", host_value("in_service"));
     }
+    ~World() { stop(); }
     void begin(const tls::Files &files) {
         maker = tls::make(files);
         Plot plot;
