--- a/src/membership/blocking/entries.cpp
+++ b/src/membership/blocking/entries.cpp
@@ -87,19 +87,21 @@
         if (entry.key.empty() || long_key || entry.rev <= 0)
             return refuse("an entry without a key or an index", ec);
         if (long_value)
-            entry.fault = "a value over " + std::to_string(most_value) + " bytes";
+            refuse_long();
         else
             decode();
         take(std::move(entry));
         entry = {};
         return true;
     }
+    void refuse_long() { entry.fault = "a value over " + std::to_string(most_value) + " bytes"; }
     void decode() {
         while (!entry.value.empty() && entry.value.back() == '=') entry.value.pop_back();
         std::string bytes(base64::decoded_size(entry.value.size()) + 4, '\0');
         const auto [wrote, read] = base64::decode(bytes.data(), entry.value.data(), entry.value.size());
-        if (read != entry.value.size()) entry.fault = "a value that is not base64";
         bytes.resize(wrote);
+        if (read != entry.value.size()) entry.fault = "a value that is not base64";
+        if (wrote > most_value) refuse_long();
         entry.value = entry.fault.empty() ? std::move(bytes) : std::string();
     }
 
--- a/src/net/http/http.cpp
+++ b/src/net/http/http.cpp
@@ -43,7 +43,7 @@
         return false;
     }
     found = std::string_view(unread_).substr(0, end);
-    if (found.empty() || found.back() != '\r') {
+    if (end > most || found.empty() || found.back() != '\r') {
         state_ = State::bad;
         return false;
     }
@@ -75,6 +75,10 @@
             if (unread_.size() > most_head_) state_ = State::bad;
             return false;
         }
+        if (end + 3 > most_head_) { // as it would be, had it come byte by byte
+            state_ = State::bad;
+            return false;
+        }
         read_head(std::string_view(unread_).substr(0, end));
         unread_.erase(0, end + 4);
         return state_ != State::bad;
--- a/standins/program/program.cpp
+++ b/standins/program/program.cpp
@@ -47,6 +47,17 @@
     if (!over_) ::kill(pid_, number);
 }
 
+long Program::memory_kb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; status >> word;)
+        if (word == "VmRSS:") {
+            long size = 0;
+            status >> size;
+            return size;
+        }
+    return 0;
+}
+
 std::string Program::said() const {
     std::ostringstream said;
     said << std::ifstream(out_).rdbuf();
--- a/standins/program/program.hpp
+++ b/standins/program/program.hpp
@@ -25,6 +25,7 @@
     int status() const { return status_; }
     void signal(int number) const;
     std::string said() const;
+    long memory_kb() const; // resident; 0 where it has ended
 
   private:
     std::filesystem::path out_;
--- a/standins/registry/registry.cpp
+++ b/standins/registry/registry.cpp
@@ -30,6 +30,7 @@
     std::uint64_t drops = 0;
     std::function<void()> on_page;
     int reads = 0, watches = 0;
+    std::vector<std::chrono::steady_clock::time_point> read_times;
     std::unique_ptr<grpc::Server> server;
     int port = 0;
     std::shared_ptr<grpc::ServerCredentials> credentials = grpc::InsecureServerCredentials();
@@ -39,23 +40,28 @@
     std::int64_t next_lease = 100;
     int renewals = 0;
 
-    Pairs at(std::int64_t when) const {
-        Pairs pairs;
-        for (const Word &word : log) {
-            if (word.rev > when) break;
-            if (word.gone) {
-                pairs.erase(word.key);
+    // All pairs as they stood then; the last such state is kept, as pages ask for one again and again.
+    const Pairs &at(std::int64_t when) const {
+        if (when < made_at) made.clear(), made_at = 0;
+        auto word = std::lower_bound(log.begin(), log.end(), made_at + 1,
+                                     [](const Word &one, std::int64_t rev) { return one.rev < rev; });
+        for (; word != log.end() && word->rev <= when; ++word) {
+            if (word->gone) {
+                made.erase(word->key);
                 continue;
             }
-            pb::KeyValue &pair = pairs[word.key];
-            if (pair.create_revision() == 0) pair.set_create_revision(word.rev);
-            pair.set_key(word.key);
-            pair.set_value(word.value);
-            pair.set_mod_revision(word.rev);
+            pb::KeyValue &pair = made[word->key];
+            if (pair.create_revision() == 0) pair.set_create_revision(word->rev);
+            pair.set_key(word->key);
+            pair.set_value(word->value);
+            pair.set_mod_revision(word->rev);
             pair.set_version(pair.version() + 1);
         }
-        return pairs;
+        made_at = when;
+        return made;
     }
+    mutable Pairs made;
+    mutable std::int64_t made_at = 0;
 
     void write(std::vector<Word> words) {
         const std::lock_guard hold(lock);
@@ -75,22 +81,28 @@
         if (act) act();
         const std::lock_guard hold(lock);
         ++reads;
+        read_times.push_back(std::chrono::steady_clock::now());
         const std::int64_t stands = rev - behind;
         const std::int64_t when = asked->revision() > 0 ? asked->revision() : stands;
         if (when < compacted)
             return {grpc::StatusCode::OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"};
         answer->mutable_header()->set_cluster_id(7);
         answer->mutable_header()->set_revision(stands);
-        std::vector<pb::KeyValue> found;
-        for (auto &[key, pair] : at(when))
-            if (key >= asked->key() && key < asked->range_end()) found.push_back(pair);
-        answer->set_count(static_cast<std::int64_t>(found.size()));
-        if (asked->sort_target() == pb::RangeRequest::MOD)
-            std::sort(found.begin(), found.end(),
-                      [](const auto &a, const auto &b) { return a.mod_revision() > b.mod_revision(); });
-        const auto most = asked->limit() > 0 ? static_cast<std::size_t>(asked->limit()) : found.size();
-        answer->set_more(found.size() > most);
-        for (std::size_t i = 0; i < std::min(most, found.size()); ++i) *answer->add_kvs() = found[i];
+        const Pairs &all = at(when);
+        const auto first = all.lower_bound(asked->key()), last = all.lower_bound(asked->range_end());
+        const auto count = std::distance(first, last);
+        answer->set_count(count);
+        if (asked->sort_target() == pb::RangeRequest::MOD) {
+            const auto newest = std::max_element(first, last, [](const auto &a, const auto &b) {
+                return a.second.mod_revision() < b.second.mod_revision();
+            });
+            if (newest != last) *answer->add_kvs() = newest->second;
+            return grpc::Status::OK;
+        }
+        const auto most = asked->limit() > 0 ? asked->limit() : count;
+        answer->set_more(count > most);
+        std::int64_t given = 0;
+        for (auto pair = first; pair != last && given < most; ++pair, ++given) *answer->add_kvs() = pair->second;
         return grpc::Status::OK;
     }
 
@@ -347,6 +359,8 @@
 void Registry::forget() {
     const std::lock_guard hold(state_->lock);
     state_->log.clear();
+    state_->made.clear();
+    state_->made_at = 0;
     state_->rev = 1;
     state_->compacted = 0;
 }
@@ -374,6 +388,10 @@
     const std::lock_guard hold(state_->lock);
     return state_->reads;
 }
+std::vector<std::chrono::steady_clock::time_point> Registry::take_read_times() {
+    const std::lock_guard hold(state_->lock);
+    return std::exchange(state_->read_times, {});
+}
 int Registry::watches() const {
     const std::lock_guard hold(state_->lock);
     return state_->watches;
--- a/standins/registry/registry.hpp
+++ b/standins/registry/registry.hpp
@@ -3,6 +3,7 @@
 // from any thread.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -53,6 +54,7 @@
     int leases() const; // that stand
     int renewals() const;
     int reads() const; // pages
+    std::vector<std::chrono::steady_clock::time_point> take_read_times(); // of pages, since the last call
     int watches() const;
 
     struct State;
--- /dev/null
+++ b/tests/membership/fleet.hpp
@@ -0,0 +1,107 @@
+// Many routers' worth of sources against one registry on grpc++, each with its own view, spread over some loops; for
+// the test and the measurement. A drain is timed from its writing until each view tells it.
+#pragma once
+
+#include "list_value.hpp"
+#include "membership/etcd/follower.hpp"
+#include "membership/source.hpp"
+#include "standins/registry/registry.hpp"
+
+#include <atomic>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+namespace pineridge::membership {
+
+using Clock = std::chrono::steady_clock;
+
+inline Ticks ticks_since(Clock::time_point began) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - began).count() / 100;
+}
+
+class Fleet {
+  public:
+    Fleet(standins::Registry &registry, int routers, int loops, Ticks spread)
+        : registry_(registry), log_(logged_, "fleet", Level::error) {
+        for (int i = 0; i < loops; ++i) loops_.push_back(std::make_unique<Loop>());
+        for (int i = 0; i < routers; ++i) {
+            Loop &loop = *loops_[static_cast<std::size_t>(i % loops)];
+            Plot plot;
+            plot.endpoints = {read_address(registry.address(), "endpoint")};
+            plot.prefix = "/hosts/";
+            plot.ends.spread = spread;
+            plot.ends.rest_most = 2000;
+            plot.view.most = 50000;
+            plot.quiet = 0;
+            plot.follow = [](View &view, const std::string &authority) {
+                return std::make_shared<etcd::Follower>(view, read_value, "/hosts/", authority, "",
+                                                        etcd::Times{200000, 10000, 100000, 1000000}, 500);
+            };
+            auto &source = loop.sources.emplace_back();
+            source = std::make_unique<Source>(
+                loop.io, std::move(plot), read_value, limits_, log_, static_cast<std::uint64_t>(i) + 1,
+                [began = began_] { return ticks_since(began); }, [this](const Listing &told) { take(told); });
+            source->begin();
+        }
+        for (const auto &loop : loops_)
+            loop->thread = std::thread([one = loop.get()] {
+                while (!one->over) one->io.run_for(std::chrono::milliseconds(20));
+            });
+    }
+    ~Fleet() {
+        for (const auto &loop : loops_) {
+            boost::asio::post(loop->io, [one = loop.get()] {
+                for (const auto &source : one->sources) source->stop();
+            });
+            std::this_thread::sleep_for(std::chrono::milliseconds(60)); // what is under way ends on its loop
+            loop->over = true;
+            loop->thread.join();
+        }
+    }
+    // The value's start is the moment of its writing: each view that tells of a drain is timed by it.
+    void drain(const std::string &id) {
+        registry_.put("/hosts/" + id,
+                      R"({"state":"terminating","started_ms":)" + std::to_string(ticks_since(began_)) + "}");
+    }
+    void ready(const std::string &id) { registry_.put("/hosts/" + id, R"({"state":"in_service","started_ms":0})"); }
+    std::vector<Ticks> take_times() {
+        const std::lock_guard hold(lock_);
+        return std::exchange(times_, {});
+    }
+    std::size_t told() const { return told_; } // entries, in all views
+    std::size_t bytes() const {
+        std::size_t all = 0;
+        for (const auto &loop : loops_)
+            for (const auto &source : loop->sources) all += source->heard();
+        return all;
+    }
+
+  private:
+    struct Loop {
+        boost::asio::io_context io{1};
+        std::vector<std::unique_ptr<Source>> sources;
+        std::thread thread;
+        std::atomic<bool> over{false};
+    };
+    void take(const Listing &listing) {
+        told_ += listing.members.size();
+        for (const Member &member : listing.members)
+            if (member.entry.standing == Standing::draining) {
+                const std::lock_guard hold(lock_);
+                times_.push_back(ticks_since(began_) - member.entry.started);
+            }
+    }
+
+    standins::Registry &registry_;
+    const Clock::time_point began_ = Clock::now();
+    const Limits limits_{};
+    std::ostringstream logged_;
+    Log log_;
+    std::vector<std::unique_ptr<Loop>> loops_;
+    std::mutex lock_;
+    std::vector<Ticks> times_;
+    std::atomic<std::size_t> told_{0};
+};
+
+} // namespace pineridge::membership
--- /dev/null
+++ b/tests/membership/fleet_test.cpp
@@ -0,0 +1,36 @@
+// Hard case 6 at the size that fits in CI: many watchers of one registry, hosts that change all the time; every view
+// is told of every drain, in the end all views hold what the registry holds. The times are measured in bench/.
+#undef NDEBUG
+#include "fleet.hpp"
+
+#include <cassert>
+#include <iostream>
+
+using namespace pineridge;
+using namespace pineridge::membership;
+
+int main() {
+    constexpr int kHosts = 1000, kRouters = 30, kChanges = 300, kDrains = 20;
+    standins::Registry registry;
+    std::vector<standins::Word> words;
+    for (int i = 0; i < kHosts; ++i)
+        words.push_back({0, "/hosts/h" + std::to_string(i), R"({"state":"in_service","started_ms":0})", false});
+    registry.write(words);
+    Fleet fleet(registry, kRouters, 2, 0);
+    const auto until = [&](const std::function<bool()> &held) {
+        const auto end = Clock::now() + std::chrono::seconds(60);
+        while (!held()) {
+            assert(Clock::now() < end);
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    };
+    until([&] { return fleet.told() == std::size_t{kHosts} * kRouters && registry.watches() >= kRouters; });
+    for (int i = 0; i < kChanges; ++i) {
+        fleet.ready("h" + std::to_string(i * 7 % 500));
+        if (i % (kChanges / kDrains) == 0) fleet.drain("h" + std::to_string(500 + i));
+        if (i == kChanges / 2) registry.drop();
+    }
+    std::size_t seen = 0;
+    until([&] { return (seen += fleet.take_times().size()) >= std::size_t{kDrains} * kRouters; });
+    assert(seen == std::size_t{kDrains} * kRouters); // each once in each view
+}
