A vote that releases a build by itself is cast once its figures have lasted

Where fewer than all must agree, the last vote on now has to be due for up to 1 s (by how much the word of one decides) before it is cast. Ought to cover any doubt that shows in bursts: rising failures, yielding, cold hosts coming and going. May hurt where a good build waits one second longer. The test fails without it (1.8 s instead of 2.5 s).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,6 +38,7 @@
 
 constexpr double kTrafficRate = 0.06, kPeakFade = 0.985; // a beat: of the newest figure; of its peak
 constexpr Ticks kSlowFor = 10000; // the trial's median stays over the bar
+constexpr Ticks kProvenFor = 10000; // of a vote that releases by itself: what wavers in that time was in doubt
 constexpr double kMinority = 0.6; // trial's part up to which the earlier hosts can bear witness
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
 constexpr double kLoadRise = 1.5, kFailRise = 15; // of all latencies: powers of load, for a failure share
@@ -685,13 +686,12 @@
         // A trial that others must spare load is not proven for more: slow builds, and those bad when busy.
         if (failing || slow || suspect_since >= 0 || yielding > kYieldMost) return Verdict::none;
         // The last vote on takes the earlier hosts away: not while the trial's are cold, or they are swamped.
-        const bool last = known.stage + 1 >= static_cast<int>(terms.rollout.places.size());
+        const bool last = in_last_stage();
         const auto cold = [&](int i) { return warmth(hosts[i]) < kWarmEnough; };
         if (last && std::any_of(pools[1].hosts.begin(), pools[1].hosts.end(), cold)) return Verdict::none;
         // Nor on the word of a few routers, each of which saw little, where the figures of all lack or are in
         // doubt: the fewer of them must agree, the more these must hold.
-        const double alone = 1 - std::min(1.0, double(terms.rollout.on_votes) / terms.instances);
-        const double needed = alone * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
+        const double needed = alone() * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
         const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt);
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.all.picks;
@@ -707,12 +707,24 @@
         return Verdict::back;
     }
 
+    bool in_last_stage() const { return known.stage + 1 >= static_cast<int>(terms.rollout.places.size()); }
+    // How far the word of one goes for all: 0 where all must agree.
+    double alone() const { return 1 - std::min(1.0, double(terms.rollout.on_votes) / terms.instances); }
+
+    // Stops a build that turns bad with its hosts' age or load from being released by the one router that saw
+    // it clean for a moment, while the others hold: where one vote does it, it is cast once it has lasted.
+    Verdict once_proven(Verdict judged) {
+        const Ticks span = static_cast<Ticks>(kProvenFor * alone()) - 1;
+        const bool proven = lasts(judged == Verdict::on, proven_since, span);
+        return judged == Verdict::on && in_last_stage() && !proven ? Verdict::none : judged;
+    }
+
     Decision vote() {
         if (!(trial_runs() || watching()) || now < judge_at) return {};
         judge_at = now + kBeat;
         // A vote back stands for its time: one that wavers with the last few samples may never be counted.
         const bool stands_back = voted == Verdict::back && now < voted_at + kVoteRenewal;
-        const Verdict verdict = stands_back ? voted : judgement();
+        const Verdict verdict = stands_back ? voted : once_proven(judgement());
         if (verdict == Verdict::none && voted == Verdict::none) return {};
         const Ticks stands = std::min(kVoteRenewal, terms.rollout.vote_life * 2 / 3);
         if (verdict == voted && now < voted_at + (vote_counts ? stands : kVoteRetry)) return {};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -219,6 +219,7 @@
     int pending = 0; // RPCs without a final answer
     double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
+    Ticks proven_since = -1; // the vote that would release the build has been due
     double earlier_fails = 0;
     double breaks = 0; // share of the earlier builds' picks whose connection broke, of late
     News known{};
@@ -363,6 +364,7 @@
             }
             stage_at = now - told.age;
             voted = Verdict::none;
+            proven_since = -1;
             log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage, int(told.phase));
             if (told.phase != Phase::on_trial) of(told.build).range.clear();
         }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -234,6 +234,28 @@
     }
 }
 
+// Where one of three routers' votes releases, a moment's clean figures do not: they have to last.
+void a_vote_that_releases_has_to_last() {
+    for (const int instances : {1, 3}) {
+        Terms given = trial_terms();
+        given.instances = instances;
+        Bench bench(given);
+        bench.host("n1", 2);
+        bench.host("n2", 2);
+        bench.news(2, 1, Phase::on_trial, 1);
+        Ticks voted_at = 0;
+        for (Ticks now = 1000; now <= 60000 && voted_at == 0; now += 1000) {
+            bench.at(now);
+            for (const Decision &vote : bench.pull(Act::vote))
+                if (vote.verdict == Verdict::on) voted_at = now;
+            bench.more(4, Outcome::ok);
+        }
+        assert(voted_at > 0);
+        if (instances == 3) assert(voted_at >= 24000); // 18000 without
+        if (instances == 1) assert(voted_at < 10000);
+    }
+}
+
 // A lone trial host's failures may be its own: no vote back, and the second stage after a while.
 void lone_trial_host_sends_nothing_back() {
     Bench bench(trial_terms());
@@ -448,6 +470,7 @@
     gate_votes_on_after_twenty_pairs();
     clean_balancer_votes_on_after_a_while();
     last_vote_waits_for_warm_hosts();
+    a_vote_that_releases_has_to_last();
     lone_trial_host_sends_nothing_back();
     copies_spare_a_cold_trial();
     timer_gate_holds();
