--- a/bench/membership_scale.cpp
+++ b/bench/membership_scale.cpp
@@ -5,8 +5,8 @@
 //   build/tests/bench_membership_scale return [HOSTS ROUTERS]
 #include "../tests/membership/fleet.hpp"
 
-#include "standins/blocking/blocking.hpp"
 #include "membership/blocking/follower.hpp"
+#include "standins/blocking/blocking.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -19,7 +19,8 @@
 
 // Of the size that a real entry has.
 std::string value_of(int i) {
-    return R"({"id":"s-)" + std::to_string(10000000 + i) + R"(","addr":"10.1.0.18:6379","zone":"a","kind":"m2","cell":3,)" +
+    return R"({"id":"s-)" + std::to_string(10000000 + i) +
+           R"(","addr":"10.1.0.18:6379","zone":"a","kind":"m2","cell":3,)" +
            R"("state":"in_service","weight":1.0,"started_ms":0,"version_no":41})";
 }
 
@@ -53,10 +54,12 @@
     std::this_thread::sleep_for(std::chrono::seconds(2));
     std::vector<Ticks> times = fleet.take_times();
     std::sort(times.begin(), times.end());
-    const auto part = [&](double share) { return times[static_cast<std::size_t>(share * (times.size() - 1))] / 10.0; };
-    std::cout << hosts << " hosts, " << routers << " routers, " << changes << " changes a second for " << seconds
-              << " s: " << drained << " drains told " << times.size() << " times, p50 " << part(0.5) << " ms, p99 "
-              << part(0.99) << " ms, most " << part(1) << " ms\n";
+    const auto part = [&](double share) {
+        return times[static_cast<std::size_t>(share * (times.size() - 1))] / 10.0;
+    };
+    std::cout << hosts << " hosts, " << routers << " routers, " << changes << " changes a second for "
+              << seconds << " s: " << drained << " drains told " << times.size() << " times, p50 "
+              << part(0.5) << " ms, p99 " << part(0.99) << " ms, most " << part(1) << " ms\n";
 }
 
 template <class Begin> void resync_once(const char *name, int hosts, const Begin &begin) {
@@ -68,7 +71,8 @@
     std::shared_ptr<standins::Blocking> kept; // goes before the loop
     Plot plot = begin(io, kept);
     Source source(
-        io, std::move(plot), read_value, limits, log, 7, [&] { return ticks_since(began); }, [](const Listing &) {});
+        io, std::move(plot), read_value, limits, log, 7, [&] { return ticks_since(began); },
+        [](const Listing &) {});
     const auto start = Clock::now();
     source.begin();
     while (!source.view().synced()) io.run_one();
@@ -107,7 +111,8 @@
     }
 }
 
-// Pages read in the busiest tenth of a second once the registry, away and with its history compacted, is back.
+// Pages read in the busiest tenth of a second once the registry, away and with its history compacted, is
+// back.
 void comes_back(int hosts, int routers) {
     for (const Ticks spread : {Ticks{0}, Ticks{20000}, Ticks{100000}}) {
         standins::Registry registry;
@@ -129,10 +134,12 @@
         std::map<long, int> busy;
         int most = 0;
         for (const auto &at : registry.take_read_times())
-            most = std::max(most, ++busy[std::chrono::duration_cast<std::chrono::milliseconds>(at - began).count() / 100]);
-        std::cout << hosts << " hosts, " << routers << " routers, spread " << spread / 10000.0 << " s: all back after "
-                  << took << " s, at most " << most << " pages in 0.1 s, " << (fleet.bytes() - bytes) / 1048576
-                  << " MiB in all\n";
+            most = std::max(
+                most,
+                ++busy[std::chrono::duration_cast<std::chrono::milliseconds>(at - began).count() / 100]);
+        std::cout << hosts << " hosts, " << routers << " routers, spread " << spread / 10000.0
+                  << " s: all back after " << took << " s, at most " << most << " pages in 0.1 s, "
+                  << (fleet.bytes() - bytes) / 1048576 << " MiB in all\n";
     }
 }
 
--- a/fuzz/answer.cpp
+++ b/fuzz/answer.cpp
@@ -15,7 +15,8 @@
         answer.feed(bytes.substr(at, piece));
     if (answer.body().size() > 4096) std::abort();
     if (answer.bad()) return "bad";
-    return std::to_string(answer.status()) + (answer.done() ? "." : "-") + answer.kept(0) + "\n" + answer.body();
+    return std::to_string(answer.status()) + (answer.done() ? "." : "-") + answer.kept(0) + "\n" +
+           answer.body();
 }
 
 } // namespace
--- a/fuzz/entries.cpp
+++ b/fuzz/entries.cpp
@@ -13,7 +13,8 @@
     std::string all;
     Entries entries(
         [&](const Entry &entry) {
-            if (entry.key.empty() || entry.key.size() > 64 || entry.value.size() > 260 || entry.rev <= 0) std::abort();
+            if (entry.key.empty() || entry.key.size() > 64 || entry.value.size() > 260 || entry.rev <= 0)
+                std::abort();
             all += entry.key + '\0' + std::to_string(entry.rev) + entry.value + entry.fault + '\n';
         },
         256, 64);
--- a/fuzz/follower.cpp
+++ b/fuzz/follower.cpp
@@ -40,7 +40,8 @@
         etcdserverpb::WatchResponse told;
         if (told.ParseFromArray(data + at + 1, static_cast<int>(most)))
             for (const auto &event : told.events()) {
-                Record record = make_record(read_host, event.kv().key(), event.kv().mod_revision(), event.kv().value());
+                Record record =
+                    make_record(read_host, event.kv().key(), event.kv().mod_revision(), event.kv().value());
                 record.gone = event.type() == etcdserverpb::Event::DELETE;
                 if (at % 2)
                     view.change(record);
--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -1,5 +1,5 @@
-// Plays a corpus through a fuzz target: each file whole, each cut of it, and each with one byte changed, in a fixed
-// order. Names what it was at when the target ends the program.
+// Plays a corpus through a fuzz target: each file whole, each cut of it, and each with one byte changed, in a
+// fixed order. Names what it was at when the target ends the program.
 #include "target.hpp"
 
 #include <algorithm>
--- a/fuzz/target.hpp
+++ b/fuzz/target.hpp
@@ -1,5 +1,5 @@
-// What each fuzz target gives: libFuzzer calls it with bytes of its own; in CI main() of replay.cpp calls it with those
-// of a fixed corpus and with every cut of them.
+// What each fuzz target gives: libFuzzer calls it with bytes of its own; in CI main() of replay.cpp calls it
+// with those of a fixed corpus and with every cut of them.
 #pragma once
 
 #include <cstddef>
--- a/src/cli/registry.cpp
+++ b/src/cli/registry.cpp
@@ -1,6 +1,7 @@
-// `registry dump`, `watch` and `diff`: what a registry holds, what changes in it, and how that differs from the
-// list that a router last kept on disk. Each follows the registry as a router does, by the same settings.
+// `registry dump`, `watch` and `diff`: what a registry holds, what changes in it, and how that differs from
+// the list that a router last kept on disk. Each follows the registry as a router does, by the same settings.
 #include "cli/commands.hpp"
+#include "cli/now.hpp"
 
 #include "membership/access.hpp"
 #include "membership/cache.hpp"
@@ -23,11 +24,6 @@
     double for_s = 0, wait_s = 5;
 };
 
-Ticks clock_now() {
-    using Tick = std::chrono::duration<Ticks, std::ratio<1, 10000>>;
-    return std::chrono::floor<Tick>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 // Without a configuration the names of zones and kinds are not known: only what needs none is read.
 Member read_host(const std::string &, std::string_view value) {
     const json from = json::parse(value, nullptr, false);
@@ -112,7 +108,8 @@
                       << " build " << member.entry.build << std::endl;
     };
     const View &view = follow.read(asked.wait_s);
-    std::cout << clock_now() / 10 << " revision " << view.revision() << ", hosts " << view.size() << std::endl;
+    std::cout << clock_now() / 10 << " revision " << view.revision() << ", hosts " << view.size()
+              << std::endl;
     boost::asio::signal_set signals(follow.io, SIGINT, SIGTERM);
     bool over = false;
     signals.async_wait([&](boost::system::error_code, int) { over = true; });
@@ -161,12 +158,14 @@
     said->require_subcommand(1);
     auto *dumped = said->add_subcommand("dump", "what it holds, and at which revision");
     auto *watched = said->add_subcommand("watch", "what changes in it, until a signal");
-    auto *compared = said->add_subcommand("diff", "what it holds against the list that a router kept on disk");
+    auto *compared =
+        said->add_subcommand("diff", "what it holds against the list that a router kept on disk");
     for (auto *command : {dumped, watched, compared}) {
         command->add_option("--settings", asked->settings, "our own settings, as XML")
             ->envname("PINERIDGE_SETTINGS")
             ->required();
-        command->add_option("--wait-s", asked->wait_s, "for the whole to be read")->check(CLI::PositiveNumber);
+        command->add_option("--wait-s", asked->wait_s, "for the whole to be read")
+            ->check(CLI::PositiveNumber);
     }
     watched->add_option("--for-s", asked->for_s, "ends by itself after so long")->check(CLI::PositiveNumber);
     compared->add_option("--known", asked->known, "the file, else that of the settings");
--- a/src/cli/release.cpp
+++ b/src/cli/release.cpp
@@ -1,6 +1,7 @@
 // `release status` and `release freeze` speak to a desk; `release plan` works a plan out from the settings
 // alone.
 #include "cli/commands.hpp"
+#include "cli/now.hpp"
 
 #include "net/http/link.hpp"
 #include "release/plan.hpp"
@@ -52,11 +53,6 @@
     return answer.body();
 }
 
-Ticks clock_now() {
-    using Tick = std::chrono::duration<Ticks, std::ratio<1, 10000>>;
-    return std::chrono::floor<Tick>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 void print_cells(const release::Plan &plan, const BuildName &build) {
     const Scheme &scheme = plan.scheme();
     std::cout << std::left << std::setw(14) << "  zone" << std::setw(16) << "customer" << std::setw(6)
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,7 +38,8 @@
 
 constexpr double kTrafficRate = 0.06, kPeakFade = 0.985; // a beat: of the newest figure; of its peak
 constexpr Ticks kSlowFor = 10000; // the trial's median stays over the bar
-constexpr Ticks kProvenFor = 10000; // of a vote that releases by itself: what wavers in that time was in doubt
+constexpr Ticks kProvenFor =
+    10000; // of a vote that releases by itself: what wavers in that time was in doubt
 constexpr double kMinority = 0.6; // trial's part up to which the earlier hosts can bear witness
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
 constexpr double kLoadRise = 1.5, kFailRise = 15; // of all latencies: powers of load, for a failure share
--- a/src/membership/access.cpp
+++ b/src/membership/access.cpp
@@ -37,7 +37,8 @@
     if (from.kind == Registry::Kind::blocking) {
         plot.protocol = "http/1.1";
         const blocking::Times times{from.wait, from.answer, from.gap, from.contact};
-        plot.follow = [=, prefix = from.prefix, token = access.token](View &view, const std::string &authority) {
+        plot.follow = [=, prefix = from.prefix, token = access.token](View &view,
+                                                                      const std::string &authority) {
             return std::make_shared<blocking::Follower>(view, read, prefix, authority, token, times, seed);
         };
         return plot;
--- a/src/membership/access.hpp
+++ b/src/membership/access.hpp
@@ -1,5 +1,5 @@
-// A registry as the settings tell of it, made ready to be followed: addresses and token read, TLS loaded where it
-// is told.
+// A registry as the settings tell of it, made ready to be followed: addresses and token read, TLS loaded
+// where it is told.
 #pragma once
 
 #include "membership/source.hpp"
--- a/src/membership/blocking/entries.hpp
+++ b/src/membership/blocking/entries.hpp
@@ -1,6 +1,6 @@
 // The body of a blocking query, read as it comes: a JSON array of objects with Key, Value (base64) and
-// ModifyIndex, as Consul's KV API tells them. Whole bodies are never held: a value or a key beyond its bound is
-// passed over while it comes, and its entry told as one that cannot be read.
+// ModifyIndex, as Consul's KV API tells them. Whole bodies are never held: a value or a key beyond its bound
+// is passed over while it comes, and its entry told as one that cannot be read.
 #pragma once
 
 #include <cstdint>
--- a/src/membership/blocking/follower.cpp
+++ b/src/membership/blocking/follower.cpp
@@ -17,7 +17,8 @@
     std::string all;
     for (const unsigned char one : text) {
         const bool plain = (one >= 'a' && one <= 'z') || (one >= 'A' && one <= 'Z') ||
-                           (one >= '0' && one <= '9') || std::string_view("-._~/").find(one) != std::string::npos;
+                           (one >= '0' && one <= '9') ||
+                           std::string_view("-._~/").find(one) != std::string::npos;
         if (plain)
             all += static_cast<char>(one);
         else
--- a/src/membership/blocking/follower.hpp
+++ b/src/membership/blocking/follower.hpp
@@ -1,8 +1,8 @@
-// Follows a prefix by blocking queries over HTTP/1.1, fed bytes and told the time; knows no socket. Each query
-// names the index last told and is answered once that has been passed, or when the told wait is over, with all
-// keys under the prefix. Protocol: Consul's KV API and its pages on blocking queries: an index below the one
-// before means that the next query starts anew, without one; an index of 0 never blocks, so 1 is the least that
-// is asked with; each query's wait is spread so that many routers do not ask in step.
+// Follows a prefix by blocking queries over HTTP/1.1, fed bytes and told the time; knows no socket. Each
+// query names the index last told and is answered once that has been passed, or when the told wait is over,
+// with all keys under the prefix. Protocol: Consul's KV API and its pages on blocking queries: an index below
+// the one before means that the next query starts anew, without one; an index of 0 never blocks, so 1 is the
+// least that is asked with; each query's wait is spread so that many routers do not ask in step.
 #pragma once
 
 #include "chance.hpp"
@@ -19,7 +19,8 @@
 struct Times { // ticks
     Ticks wait = 50000; // of a query, spread by a sixteenth
     Ticks answer = 20000; // for an answer, over the wait
-    Ticks gap = 500; // between an answer and the next query: a list that changes all the time is not read in a loop
+    Ticks gap =
+        500; // between an answer and the next query: a list that changes all the time is not read in a loop
     Ticks contact = 50000; // a member that has not heard its leader for so long is not believed
 };
 
--- a/src/membership/etcd/follower.cpp
+++ b/src/membership/etcd/follower.cpp
@@ -30,19 +30,6 @@
     go_on();
 }
 
-std::string Follower::output() {
-    std::string bytes = session_.output();
-    take_events(); // a call that we reset ends as its frame is made
-    bytes += session_.output();
-    return bytes;
-}
-
-void Follower::take_events() {
-    if (!session_.fault().empty()) fail(session_.fault());
-    http2::Event event{};
-    while (!dead() && session_.take(event)) take(event);
-}
-
 void Follower::go_on() {
     switch (view_.ask()) {
     case Ask::whole:
@@ -86,13 +73,6 @@
     due_ = now_ + times_.answer;
 }
 
-bool Follower::feed(std::string_view bytes, Ticks now) {
-    now_ = std::max(now_, now);
-    session_.feed(bytes);
-    take_events();
-    return !dead();
-}
-
 void Follower::clock(Ticks now) {
     now_ = std::max(now_, now);
     if (dead() || doing_ == Doing::nothing) return;
@@ -159,8 +139,8 @@
     if (event.call == audit_call_) return take_audit(event.data);
 }
 
-// Stops one huge value from keeping the rest of the list unread: fewer keys are asked for, and of the one that
-// is too large by itself only its name and revision.
+// Stops one huge value from keeping the rest of the list unread: fewer keys are asked for, and of the one
+// that is too large by itself only its name and revision.
 void Follower::page_too_large() {
     page_call_ = -1;
     if (keys_now_ == 1 && std::exchange(without_value_, true))
--- a/src/membership/etcd/follower.hpp
+++ b/src/membership/etcd/follower.hpp
@@ -4,11 +4,10 @@
 // etcd's v3 API over gRPC.
 #pragma once
 
+#include "membership/etcd/grpc_peer.hpp"
 #include "membership/etcd/rpc.pb.h"
-#include "membership/peer.hpp"
 #include "membership/value.hpp"
 #include "membership/view.hpp"
-#include "net/http2/session.hpp"
 
 namespace pineridge::membership::etcd {
 
@@ -19,16 +18,14 @@
     Ticks audit = 100000; // between looks whether anything was missed
 };
 
-class Follower final : public Peer {
+class Follower final : public GrpcPeer {
   public:
     // The view outlives the follower: there is one follower a connection. `read` makes a host of a value.
     Follower(View &view, ReadValue read, std::string prefix, std::string authority, std::string token,
              Times times, std::size_t page = 500);
 
     void begin(Ticks now) override;
-    bool feed(std::string_view bytes, Ticks now) override;
     void clock(Ticks now) override;
-    std::string output() override;
 
   private:
     enum class Doing { nothing, reading, opening, watching };
@@ -37,8 +34,7 @@
     void read_page(const std::string &from);
     void page_too_large();
     void open_watch();
-    void take_events();
-    void take(const http2::Event &event);
+    void take(const http2::Event &event) override;
     void take_page(const std::string &bytes);
     void take_watch(const std::string &bytes);
     void take_audit(const std::string &bytes);
@@ -51,7 +47,6 @@
     const std::string prefix_, end_, authority_, token_;
     const Times times_;
     const std::size_t page_;
-    http2::Session session_;
     Doing doing_ = Doing::nothing;
     std::int32_t page_call_ = -1, watch_call_ = -1, audit_call_ = -1;
     std::int64_t read_rev_ = 0; // of the read under way
@@ -59,7 +54,7 @@
     std::size_t keys_now_ = 0; // asked for in it: fewer where a page was too large
     bool without_value_ = false; // the page's one key has a value beyond the bound of messages
     std::vector<etcdserverpb::Event> fragments_;
-    Ticks now_ = 0, due_ = 0, heard_at_ = 0, progress_at_ = 0, audit_at_ = 0;
+    Ticks due_ = 0, heard_at_ = 0, progress_at_ = 0, audit_at_ = 0;
     std::int64_t audit_rev_ = 0;
 };
 
--- a/src/membership/etcd/registrar.cpp
+++ b/src/membership/etcd/registrar.cpp
@@ -80,26 +80,6 @@
     renew_at_ = now_ + std::max<Ticks>(1, own_.life_s * 10000 / 3);
 }
 
-bool Registrar::feed(std::string_view bytes, Ticks now) {
-    now_ = std::max(now_, now);
-    session_.feed(bytes);
-    take_events();
-    return !dead();
-}
-
-std::string Registrar::output() {
-    std::string bytes = session_.output();
-    take_events(); // a call that we reset ends as its frame is made
-    bytes += session_.output();
-    return bytes;
-}
-
-void Registrar::take_events() {
-    if (!session_.fault().empty()) fail(session_.fault());
-    http2::Event event{};
-    while (!dead() && session_.take(event)) take(event);
-}
-
 void Registrar::take(const http2::Event &event) {
     using Kind = http2::Event::Kind;
     if (event.kind == Kind::going_away) return fail("the member is going away");
--- a/src/membership/etcd/registrar.hpp
+++ b/src/membership/etcd/registrar.hpp
@@ -1,11 +1,10 @@
-// Keeps a key of ours in an etcd v3 registry under a lease, on one connection; fed bytes and told the time, knows
-// no socket. The lease is renewed three times in its life; one that ran out, as after a pause, is asked for anew.
-// When told to leave, the key is taken away and the lease revoked, and the conversation is over.
+// Keeps a key of ours in an etcd v3 registry under a lease, on one connection; fed bytes and told the time,
+// knows no socket. The lease is renewed three times in its life; one that ran out, as after a pause, is asked
+// for anew. When told to leave, the key is taken away and the lease revoked, and the conversation is over.
 #pragma once
 
+#include "membership/etcd/grpc_peer.hpp"
 #include "membership/etcd/rpc.pb.h"
-#include "membership/peer.hpp"
-#include "net/http2/session.hpp"
 
 namespace pineridge::membership::etcd {
 
@@ -15,7 +14,7 @@
     Ticks answer = 20000; // for each answer
 };
 
-class Registrar final : public Peer {
+class Registrar final : public GrpcPeer {
   public:
     // What outlives a connection: a new one goes on with the same lease while it stands.
     struct Lease {
@@ -27,26 +26,23 @@
     Registrar(Lease &lease, OwnKey own, std::string authority, std::string token, bool leaving);
 
     void begin(Ticks now) override;
-    bool feed(std::string_view bytes, Ticks now) override;
     void clock(Ticks now) override;
-    std::string output() override;
     bool over() const override { return over_; }
 
     void leave(); // the key is taken away; `over` once that is answered
 
   private:
     void go_on();
-    void take_events();
-    void take(const http2::Event &event);
+    void take(const http2::Event &event) override;
     void take_message(const http2::Event &event);
     std::int32_t call(const char *method, const google::protobuf::MessageLite &message);
 
     Lease &lease_;
     const OwnKey own_;
     const std::string authority_, token_;
-    http2::Session session_;
-    std::int32_t grant_call_ = -1, put_call_ = -1, look_call_ = -1, keep_call_ = -1, delete_call_ = -1, revoke_call_ = -1;
-    Ticks now_ = 0, renew_at_ = -1, due_ = -1;
+    std::int32_t grant_call_ = -1, put_call_ = -1, look_call_ = -1, keep_call_ = -1, delete_call_ = -1,
+                 revoke_call_ = -1;
+    Ticks renew_at_ = -1, due_ = -1;
     bool leaving_, deleted_ = false, over_ = false;
     bool looked_ = false; // whether a lease from before this connection still stands
 };
--- a/src/membership/peer.hpp
+++ b/src/membership/peer.hpp
@@ -1,5 +1,5 @@
-// The conversation with a registry on one connection: fed bytes and told the time, it knows no socket. What it
-// learns goes to whoever made it.
+// The conversation with a registry on one connection: fed bytes and told the time, it knows no socket. What
+// it learns goes to whoever made it.
 #pragma once
 
 #include "logic.hpp"
--- a/src/membership/pump.cpp
+++ b/src/membership/pump.cpp
@@ -80,10 +80,10 @@
     }
     if (!line->over && line->why.empty() && !line->peer->dead()) line->peer->ended();
     line->end();
-    const std::string why = !line->why.empty()      ? line->why
-                            : line->peer->dead()    ? line->peer->why()
-                            : line->peer->over()    ? "done"
-                                                    : "left";
+    const std::string why = !line->why.empty()   ? line->why
+                            : line->peer->dead() ? line->peer->why()
+                            : line->peer->over() ? "done"
+                                                 : "left";
     line->moved();
     co_return why;
 }
--- a/src/membership/pump.hpp
+++ b/src/membership/pump.hpp
@@ -1,5 +1,5 @@
-// The thin driver of a conversation: one connection at a time, in plaintext or TLS, bytes to and from a peer, and
-// the time told to it while nothing comes.
+// The thin driver of a conversation: one connection at a time, in plaintext or TLS, bytes to and from a peer,
+// and the time told to it while nothing comes.
 #pragma once
 
 #include "base/address.hpp"
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -43,7 +43,8 @@
     while (!stopped_) {
         const int at = ends_.next(clock_());
         if (at < 0) {
-            timer_.expires_after(std::chrono::microseconds(std::max<Ticks>(1, ends_.wake() - clock_()) * 100));
+            timer_.expires_after(
+                std::chrono::microseconds(std::max<Ticks>(1, ends_.wake() - clock_()) * 100));
             co_await timer_.async_wait(as_tuple(use_awaitable));
             continue;
         }
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -1,5 +1,5 @@
-// The driver of our own key in a registry: connects to one of its endpoints, keeps the key there, and takes it
-// away at the end.
+// The driver of our own key in a registry: connects to one of its endpoints, keeps the key there, and takes
+// it away at the end.
 #pragma once
 
 #include "base/log.hpp"
@@ -13,7 +13,8 @@
   public:
     // What is handed over by reference must outlive the registration. `tls` may be none. One thread.
     Registration(asio::io_context &io, std::vector<Address> endpoints, etcd::OwnKey own, std::string token,
-                 tls::Maker *tls, const Limits &limits, const Log &log, std::uint64_t seed, Pump::Clock clock);
+                 tls::Maker *tls, const Limits &limits, const Log &log, std::uint64_t seed,
+                 Pump::Clock clock);
 
     void begin();
     // Takes the key away, within the told time for an answer at most; `done` is called once, then or after.
--- a/src/net/tls/openssl.cpp
+++ b/src/net/tls/openssl.cpp
@@ -81,8 +81,7 @@
             if (!went(SSL_do_handshake(session_.get()))) return;
         }
         while (!unsent_.empty()) {
-            const int wrote =
-                SSL_write(session_.get(), unsent_.data(), static_cast<int>(unsent_.size()));
+            const int wrote = SSL_write(session_.get(), unsent_.data(), static_cast<int>(unsent_.size()));
             if (!went(wrote)) return;
             unsent_.erase(0, static_cast<std::size_t>(wrote));
         }
--- a/src/net/tls/tls.hpp
+++ b/src/net/tls/tls.hpp
@@ -1,6 +1,6 @@
-// TLS 1.2 or later as a client, fed bytes; knows no socket. The maker holds authorities, certificate and key as
-// read from files; it lies with OpenSSL in a library of its own, loaded where TLS is told: a router that speaks
-// plaintext carries none of it.
+// TLS 1.2 or later as a client, fed bytes; knows no socket. The maker holds authorities, certificate and key
+// as read from files; it lies with OpenSSL in a library of its own, loaded where TLS is told: a router that
+// speaks plaintext carries none of it.
 #pragma once
 
 #include <memory>
@@ -29,8 +29,8 @@
 class Maker {
   public:
     virtual ~Maker() = default;
-    // For one connection to this address. Files that have changed since are read again; where they cannot be used
-    // those that were stay, and `complaint` says why.
+    // For one connection to this address. Files that have changed since are read again; where they cannot be
+    // used those that were stay, and `complaint` says why.
     virtual std::unique_ptr<Engine> make(const std::string &address, const std::string &protocol) = 0;
     virtual std::string complaint() = 0; // once
 };
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -237,16 +237,15 @@
     membership::Access &access = *start_.registry_access;
     registry_.emplace(
         io_, membership::make_plot(*start_.registry, access, read, start_.seed), read, start_.limits, log_,
-        start_.seed, [this] { return time(); },
-        [this](const membership::Listing &told) { take_list(told); });
+        start_.seed, [this] { return time(); }, [this](const membership::Listing &told) { take_list(told); });
     registry_->begin();
     if (start_.registry->own_key.empty()) return;
     std::ostringstream listen;
     listen << start_.listen;
     const json value{{"name", start_.name}, {"listen", listen.str()}, {"started_ms", time() / 10}};
     own_key_.emplace(io_, access.endpoints,
-                     membership::etcd::OwnKey{start_.registry->own_key, value.dump(), start_.registry->own_life_s,
-                                              start_.registry->answer},
+                     membership::etcd::OwnKey{start_.registry->own_key, value.dump(),
+                                              start_.registry->own_life_s, start_.registry->answer},
                      access.token, access.tls.get(), start_.limits, log_, start_.seed,
                      [this] { return time(); });
 }
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -71,8 +71,10 @@
     ++answers_;
     std::vector<membership::Record> records;
     for (const membership::Member &host : listing.hosts)
-        records.push_back(
-            {.key = host.entry.id, .rev = answers_, .gone = host.entry.standing == Standing::gone, .member = host});
+        records.push_back({.key = host.entry.id,
+                           .rev = answers_,
+                           .gone = host.entry.standing == Standing::gone,
+                           .member = host});
     if (listing.whole) {
         std::erase_if(records, [](const membership::Record &one) { return one.gone; });
         view_.begin_read();
--- a/src/router/list/watch.hpp
+++ b/src/router/list/watch.hpp
@@ -1,6 +1,6 @@
-// The driver of the watch on discovery: each call is followed by the next at once, on a kept connection. What it
-// tells goes through a membership view, as a registry's words do. Discovery is one service whose answers come one
-// after another: they count in the order in which they came, and a whole list is believed at once.
+// The driver of the watch on discovery: each call is followed by the next at once, on a kept connection. What
+// it tells goes through a membership view, as a registry's words do. Discovery is one service whose answers
+// come one after another: they count in the order in which they came, and a whole list is believed at once.
 #pragma once
 
 #include "membership/view.hpp"
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -104,7 +104,8 @@
 void take_wishes(Start &start, const Wishes &wishes) {
     start.registry = wishes.registry;
     if (start.registry)
-        start.registry_access = std::make_shared<membership::Access>(membership::make_access(*start.registry));
+        start.registry_access =
+            std::make_shared<membership::Access>(membership::make_access(*start.registry));
     start.release = wishes.release;
     if (!start.release) return;
     check_fits(start, *start.release);
--- a/standins/blocking/blocking.hpp
+++ b/standins/blocking/blocking.hpp
@@ -1,5 +1,5 @@
-// A stand-in registry on loopback that answers blocking queries as Consul's KV API does. It keeps its keys and
-// decides nothing: what goes wrong is told to it, and it records what it told when.
+// A stand-in registry on loopback that answers blocking queries as Consul's KV API does. It keeps its keys
+// and decides nothing: what goes wrong is told to it, and it records what it told when.
 #pragma once
 
 #include "standins/http/server.hpp"
@@ -26,7 +26,9 @@
     void mute(bool on) { mute_ = on; } // takes queries and answers none
     void forget(); // data lost: empty, and at a low index
     void lag(bool on); // answers with what stood when it began to, whatever is written meanwhile
-    void say(std::string field, std::string value) { fields_[std::move(field)] = std::move(value); } // in heads
+    void say(std::string field, std::string value) {
+        fields_[std::move(field)] = std::move(value);
+    } // in heads
     void spoil(std::string bytes) { spoilt_ = std::move(bytes); } // sent in place of the next answer
     void tear(std::size_t bytes) { torn_ = bytes; } // the next answer breaks off after so many bytes
 
--- a/standins/checker/membership.cpp
+++ b/standins/checker/membership.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-bool narrows(const Told &word) { return word.gone || word.value.find("\"terminating\"") != std::string::npos; }
+bool narrows(const Told &word) {
+    return word.gone || word.value.find("\"terminating\"") != std::string::npos;
+}
 
 std::string id_of(const std::string &key) { return key.substr(key.rfind('/') + 1); }
 
@@ -16,7 +18,8 @@
     struct Span {
         std::int64_t from, to;
     };
-    std::map<std::string, std::vector<Span>> shut; // by host: from when it was told, until it was told otherwise
+    std::map<std::string, std::vector<Span>>
+        shut; // by host: from when it was told, until it was told otherwise
     std::map<std::string, std::int64_t> newest; // revision by key: an older word counts for nothing
     for (const Told &word : told) {
         if (word.rev <= newest[word.key]) continue;
--- a/standins/clients/clients.cpp
+++ b/standins/clients/clients.cpp
@@ -1,7 +1,12 @@
 #include "standins/clients/clients.hpp"
 
+#include "net/fuse.hpp"
 #include "net/resp/resp.hpp"
 
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace pineridge::standins {
 
 using asio::as_tuple;
@@ -13,37 +18,62 @@
     return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n";
 }
 
+// Each try has an id of its own.
+std::string id_of(std::size_t at, int tries) {
+    char id[24];
+    std::snprintf(id, sizeof id, "%04x%012zx", tries, at + 1);
+    return id;
+}
+
+std::string command_of(const Asked &row, const std::string &key, int patience_ms) {
+    const bool safe = row.method.rfind("do", 0) != 0;
+    const std::string names =
+        "c=" + row.method + ",t=" + row.customer + ",d=" + std::to_string(std::max(1, patience_ms));
+    std::string command = safe ? "*4\r\n" + bulk("Q.ASK") : "*5\r\n" + bulk("Q.DO");
+    command += bulk(key) + bulk(row.rpc) + bulk(names);
+    if (!safe) command += bulk("body");
+    return command;
+}
+
 } // namespace
 
 void Clients::ask(const std::string &customer, const std::string &method, const std::string &key,
                   int patience_ms) {
-    char id[24];
-    std::snprintf(id, sizeof id, "%016zx", asked_.size() + 1);
-    const bool safe = method.rfind("do", 0) != 0;
-    const std::string names = "c=" + method + ",t=" + customer + ",d=" + std::to_string(patience_ms);
-    std::string command = safe ? "*4\r\n" + bulk("Q.ASK") : "*5\r\n" + bulk("Q.DO");
-    command += bulk(key) + bulk(id) + bulk(names);
-    if (!safe) command += bulk("body");
-    asked_.push_back({now_(), id, customer, method});
+    asked_.push_back({now_(), id_of(asked_.size(), 0), customer, method});
     ++open_;
-    asio::co_spawn(io_, run(asked_.size() - 1, std::move(command)), asio::detached);
+    asio::co_spawn(io_, run(asked_.size() - 1, key, patience_ms, 0), asio::detached);
 }
 
-asio::awaitable<void> Clients::run(std::size_t at, std::string command) {
-    Socket socket;
-    if (!idle_.empty()) {
-        socket = idle_.back();
+asio::awaitable<Clients::Socket> Clients::connection() {
+    while (!idle_.empty()) {
+        Socket socket = idle_.back();
         idle_.pop_back();
-    } else {
-        socket = std::make_shared<asio::ip::tcp::socket>(io_);
-        const auto [refused] = co_await socket->async_connect(router_, as_tuple(use_awaitable));
-        if (refused) {
-            asked_[at].answer = "refused";
-            --open_;
-            co_return;
-        }
+        char byte;
+        const bool quiet =
+            ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+        if (quiet || !impatient_) co_return socket;
+        --connections_;
     }
-    asked_[at].at = now_();
+    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    ++connections_;
+    const auto [refused] = co_await socket->async_connect(router_, as_tuple(use_awaitable));
+    if (!refused) co_return socket;
+    --connections_;
+    co_return nullptr;
+}
+
+asio::awaitable<void> Clients::run(std::size_t at, std::string key, int patience_ms, int tries) {
+    const Socket socket = co_await connection();
+    if (!socket) {
+        asked_[at].answer = "refused";
+        --open_;
+        co_return;
+    }
+    if (tries == 0) asked_[at].at = now_();
+    asked_[at].rpc = id_of(at, tries);
+    const std::string command = command_of(asked_[at], key, patience_ms);
+    Fuse fuse(socket->get_executor());
+    if (impatient_) fuse.light(*socket, std::chrono::milliseconds(patience_ms));
     co_await asio::async_write(*socket, asio::buffer(command), as_tuple(use_awaitable));
     std::string heard, room(4096, '\0');
     resp::Value value;
@@ -55,18 +85,31 @@
         heard.append(room, 0, size);
         scan = resp::scan(heard, {65536, 16, 4, 1024}, value);
     }
-    --open_;
-    Asked &row = asked_[at];
     if (scan != resp::Scan::whole) {
-        row.answer = "lost";
+        --open_, --connections_;
+        asked_[at].answer = fuse.blown() ? "given up" : "lost";
         co_return;
     }
-    row.answer = value.kind == resp::Kind::bulk || value.kind == resp::Kind::array      ? "served"
-                 : value.body.rfind("BUSY", 0) == 0 || value.raw.rfind("-BUSY", 0) == 0 ? "pushed back"
-                                                                                        : "aborted";
+    fuse.put_out();
+    const std::string answer = value.kind == resp::Kind::bulk || value.kind == resp::Kind::array ? "served"
+                               : value.body.rfind("BUSY", 0) == 0 || value.raw.rfind("-BUSY", 0) == 0
+                                   ? "pushed back"
+                                   : "aborted";
+    idle_.push_back(socket);
+    if (answer == "pushed back" && tries < retries_) {
+        const int told = heard.size() > 6 ? std::atoi(heard.c_str() + 6) : 0;
+        asio::steady_timer timer(io_);
+        timer.expires_after(
+            std::chrono::milliseconds(told > 0 ? told : 20 + static_cast<int>(at * 37 % 100)));
+        co_await timer.async_wait(as_tuple(use_awaitable));
+        co_return co_await run(at, std::move(key), patience_ms, tries + 1);
+    }
+    --open_;
+    Asked &row = asked_[at];
+    row.answer = answer;
+    row.took = now_() - row.at;
     const std::size_t mark = heard.find('@');
     if (row.answer == "served" && mark != std::string::npos) row.build = std::atoi(heard.c_str() + mark + 1);
-    idle_.push_back(socket);
 }
 
 asio::awaitable<bool> Clients::ready() {
--- a/standins/clients/clients.hpp
+++ b/standins/clients/clients.hpp
@@ -19,6 +19,7 @@
     std::int64_t at = 0; // ms since the Unix epoch, when its last byte was written
     std::string rpc, customer, method;
     std::string answer{}; // empty: none yet; "lost": the connection ended without one
+    std::int64_t took = -1; // ms until the answer
     int build = 0; // that served it
 };
 
@@ -35,17 +36,25 @@
 
     const std::deque<Asked> &asked() const { return asked_; }
     int open() const { return open_; } // RPCs without an answer
+    std::size_t connections() const { return connections_; }
+
+    // Clients that wait no longer than they told, then close, and that ask again so often after a pushback,
+    // when told to or after a drawn wait. Off: they wait for whatever comes.
+    void lose_patience(int retries) { impatient_ = true, retries_ = retries; }
 
   private:
     using Socket = std::shared_ptr<asio::ip::tcp::socket>;
-    asio::awaitable<void> run(std::size_t at, std::string command);
+    asio::awaitable<void> run(std::size_t at, std::string key, int patience_ms, int tries);
+    asio::awaitable<Socket> connection(); // an idle one, or a new one; none: refused
 
     asio::io_context &io_;
     asio::ip::tcp::endpoint router_;
     Now now_;
     std::deque<Asked> asked_;
     std::vector<Socket> idle_;
-    int open_ = 0;
+    int open_ = 0, retries_ = 0;
+    std::size_t connections_ = 0;
+    bool impatient_ = false;
 };
 
 } // namespace pineridge::standins
--- a/standins/program/program.cpp
+++ b/standins/program/program.cpp
@@ -13,7 +13,8 @@
 
 namespace pineridge::standins {
 
-Program::Program(const std::filesystem::path &folder, const std::string &program, std::vector<std::string> words) {
+Program::Program(const std::filesystem::path &folder, const std::string &program,
+                 std::vector<std::string> words) {
     static int count = 0;
     out_ = folder / ("said-" + std::to_string(++count));
     posix_spawn_file_actions_t files;
--- a/standins/program/program.hpp
+++ b/standins/program/program.hpp
@@ -1,4 +1,5 @@
-// The program as a person or a platform starts it: with its words, its output in a file, while a loop goes on.
+// The program as a person or a platform starts it: with its words, its output in a file, while a loop goes
+// on.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/standins/registry/registry.cpp
+++ b/standins/registry/registry.cpp
@@ -235,8 +235,7 @@
     }
 
     void tell(grpc::ServerContext *context, Stream *stream, const pb::WatchCreateRequest &create,
-              std::int64_t from, const bool &over, bool &progress, std::uint64_t mine,
-              int call) {
+              std::int64_t from, const bool &over, bool &progress, std::uint64_t mine, int call) {
         std::unique_lock hold(lock);
         for (;;) {
             const auto due = [&] {
@@ -248,8 +247,9 @@
             if (muted) continue;
             std::vector<pb::Event> events;
             std::int64_t until = from;
-            const auto first = std::lower_bound(log.begin(), log.end(), from,
-                                                [](const Word &word, std::int64_t rev) { return word.rev < rev; });
+            const auto first =
+                std::lower_bound(log.begin(), log.end(), from,
+                                 [](const Word &word, std::int64_t rev) { return word.rev < rev; });
             for (auto at = first; at != log.end(); ++at) {
                 const Word &word = *at;
                 until = word.rev + 1;
--- a/standins/town/town.cpp
+++ b/standins/town/town.cpp
@@ -76,7 +76,7 @@
                 {"listen", at.str()},
                 {"discovery", discovery.address()},
                 {"seed", "51ab"},
-                {"limits", {{"cores", 1}, {"memory_mb", 64}, {"sockets", 512}}},
+                {"limits", {{"cores", 1}, {"memory_mb", 64}, {"sockets", plot.sockets}}},
                 {"deployer", {{"address", platform.address()}, {"news", platform.news()}}},
                 {"known", discovery.whole()},
                 {"settings",
--- a/standins/town/town.hpp
+++ b/standins/town/town.hpp
@@ -26,6 +26,7 @@
     std::string evidence = R"(<evidence picks="5" silent-after-s="60" renew-s="0.3"/>)";
     std::vector<double> caps{1, 1}; // of the platform, by stage
     unsigned short desk_port = 0;
+    int sockets = 512; // descriptors that the router is told it has
 };
 
 class Town {
--- a/tests/membership/blocking_test.cpp
+++ b/tests/membership/blocking_test.cpp
@@ -1,5 +1,5 @@
-// Blocking queries: the parser of entries by its bytes, the follower by its bytes and the time, and the source on
-// loopback against a stand-in, through each fault.
+// Blocking queries: the parser of entries by its bytes, the follower by its bytes and the time, and the
+// source on loopback against a stand-in, through each fault.
 #undef NDEBUG
 #include "membership/blocking/follower.hpp"
 #include "source_world.hpp"
@@ -47,7 +47,8 @@
 void odd_bodies_are_refused_and_long_values_passed_over() {
     std::string fault;
     const std::string longer(200, 'A');
-    assert(entries_of({R"([{"Key":"a","Value":")" + longer + R"(","ModifyIndex":1},{"Key":"b","Value":"","ModifyIndex":2}])"},
+    assert(entries_of({R"([{"Key":"a","Value":")" + longer +
+                       R"(","ModifyIndex":1},{"Key":"b","Value":"","ModifyIndex":2}])"},
                       fault) == "a@1!a value over 64 bytes b@2= ");
     for (const std::string &odd :
          {std::string("{}"), std::string("[1"), std::string("7"), std::string("[[]]"), std::string("[]x"),
@@ -107,13 +108,15 @@
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
     assert(why("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n") == "status 500");
     assert(why(head + "\r\n[]") == "an answer without an index");
-    assert(why(head + "X-Consul-Index: 5\r\nX-Consul-KnownLeader: false\r\n\r\n[]") == "a member without a leader");
+    assert(why(head + "X-Consul-Index: 5\r\nX-Consul-KnownLeader: false\r\n\r\n[]") ==
+           "a member without a leader");
     assert(why(head + "X-Consul-Index: 5\r\nX-Consul-LastContact: 6000\r\n\r\n[]") ==
            "a member out of touch with its leader");
     assert(why(head + "X-Consul-Index: 5\r\n\r\n{}").find("not an array") != std::string::npos);
     assert(why(head + "X-Consul-Index: 5\r\n\r\n[") == "the connection ended");
     assert(why("noise\r\n\r\n") == "an answer that cannot be read");
-    assert(why(head + "X-Consul-Index: 5\r\n\r\n[]HTTP/1.1 200 OK\r\n") == "the member closes the connection");
+    assert(why(head + "X-Consul-Index: 5\r\n\r\n[]HTTP/1.1 200 OK\r\n") ==
+           "the member closes the connection");
     Desk silent;
     silent.follower.clock(20000);
     assert(silent.follower.why() == "no answer to a query");
@@ -127,7 +130,8 @@
         for (const auto &one : registries_)
             for (const char *id : {"a", "b", "c", "d"}) one->put(key(id), host_value("in_service"));
         Plot plot;
-        for (const auto &one : registries_) plot.endpoints.push_back(read_address(one->address(), "endpoint"));
+        for (const auto &one : registries_)
+            plot.endpoints.push_back(read_address(one->address(), "endpoint"));
         plot.prefix = "hosts/";
         plot.protocol = "http/1.1";
         plot.quiet = 4000;
--- a/tests/membership/command_test.cpp
+++ b/tests/membership/command_test.cpp
@@ -1,5 +1,5 @@
-// The program against a registry over TLS: the sub-commands as a person calls them, and a daemon that keeps its own key
-// there and takes it away before it ends.
+// The program against a registry over TLS: the sub-commands as a person calls them, and a daemon that keeps
+// its own key there and takes it away before it ends.
 #undef NDEBUG
 #include "standins/certificates/certificates.hpp"
 #include "standins/program/program.hpp"
@@ -45,18 +45,20 @@
     std::ofstream(path("token")) << "token-of-ours\n";
     town.write_files();
     std::ofstream(path("settings.xml"))
-        << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/" token-file=")" << path("token")
-        << R"(" known-file=")" << path("known") << R"("><endpoint address=")" << registry.address()
-        << R"("/><watch progress-s="0.2" quiet-s="1" answer-s="1"/><tls ca=")" << path("ca") << R"(" certificate=")"
-        << path("certificate") << R"(" key=")" << path("key")
+        << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/" token-file=")"
+        << path("token") << R"(" known-file=")" << path("known") << R"("><endpoint address=")"
+        << registry.address() << R"("/><watch progress-s="0.2" quiet-s="1" answer-s="1"/><tls ca=")"
+        << path("ca") << R"(" certificate=")" << path("certificate") << R"(" key=")" << path("key")
         << R"("/><register key="/routers/n1" life-s="2"/></registry></pineridge>)";
 
     assert(run(io, town.folder, program, {"check", "--settings", path("settings.xml")}).status == 0);
-    const Ran dumped = run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
+    const Ran dumped =
+        run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
     assert(dumped.status == 0 && has(dumped, "revision 3, age ") && has(dumped, "hosts 2, unreadable 0") &&
            has(dumped, "/hosts/h1 rev 2 ready 127.0.0.1:") && has(dumped, " build 1"));
     // No list was kept yet.
-    assert(run(io, town.folder, program, {"registry", "diff", "--settings", path("settings.xml")}).status == 2);
+    assert(run(io, town.folder, program, {"registry", "diff", "--settings", path("settings.xml")}).status ==
+           2);
 
     Program daemon(town.folder, program,
                    {"serve", "--config", path("config.json"), "--settings", path("settings.xml")});
@@ -95,6 +97,7 @@
 
     // A file that is not there is named, and nothing starts.
     std::filesystem::remove(path("ca"));
-    const Ran refused = run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
+    const Ran refused =
+        run(io, town.folder, program, {"registry", "dump", "--settings", path("settings.xml")});
     assert(refused.status == 2 && has(refused, path("ca") + ": "));
 }
--- a/tests/membership/fleet.hpp
+++ b/tests/membership/fleet.hpp
@@ -1,5 +1,5 @@
-// Many routers' worth of sources against one registry on grpc++, each with its own view, spread over some loops; for
-// the test and the measurement. A drain is timed from its writing until each view tells it.
+// Many routers' worth of sources against one registry on grpc++, each with its own view, spread over some
+// loops; for the test and the measurement. A drain is timed from its writing until each view tells it.
 #pragma once
 
 #include "list_value.hpp"
@@ -64,7 +64,9 @@
         registry_.put("/hosts/" + id,
                       R"({"state":"terminating","started_ms":)" + std::to_string(ticks_since(began_)) + "}");
     }
-    void ready(const std::string &id) { registry_.put("/hosts/" + id, R"({"state":"in_service","started_ms":0})"); }
+    void ready(const std::string &id) {
+        registry_.put("/hosts/" + id, R"({"state":"in_service","started_ms":0})");
+    }
     std::vector<Ticks> take_times() {
         const std::lock_guard hold(lock_);
         return std::exchange(times_, {});
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -1,5 +1,6 @@
-// Hard case 6 at the size that fits in CI: many watchers of one registry, hosts that change all the time; every view
-// is told of every drain, in the end all views hold what the registry holds. The times are measured in bench/.
+// Hard case 6 at the size that fits in CI: many watchers of one registry, hosts that change all the time;
+// every view is told of every drain, in the end all views hold what the registry holds. The times are
+// measured in bench/.
 #undef NDEBUG
 #include "fleet.hpp"
 
@@ -14,7 +15,8 @@
     standins::Registry registry;
     std::vector<standins::Word> words;
     for (int i = 0; i < kHosts; ++i)
-        words.push_back({0, "/hosts/h" + std::to_string(i), R"({"state":"in_service","started_ms":0})", false});
+        words.push_back(
+            {0, "/hosts/h" + std::to_string(i), R"({"state":"in_service","started_ms":0})", false});
     registry.write(words);
     Fleet fleet(registry, kRouters, 2, 0);
     const auto until = [&](const std::function<bool()> &held) {
--- a/tests/membership/source_test.cpp
+++ b/tests/membership/source_test.cpp
@@ -241,7 +241,8 @@
     world.until_list("a+c+d+");
     world.until([&] { return world.said("unreadable: /hosts/b: a value beyond the bound of messages"); });
     world.watched();
-    world.registry().write({{0, World::key("c"), huge, false}, {0, World::key("d"), value("terminating"), false}});
+    world.registry().write(
+        {{0, World::key("c"), huge, false}, {0, World::key("d"), value("terminating"), false}});
     world.until_list("a+c+d-");
     world.registry().put(World::key("a"), value("terminating"));
     world.until_list("a-c+d-");
--- a/tests/membership/source_world.hpp
+++ b/tests/membership/source_world.hpp
@@ -53,7 +53,8 @@
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
         while (!held()) {
             if (std::chrono::steady_clock::now() > end)
-                std::cerr << "waited in vain at line " << place.line() << "\n" << logged.str() << text() << "\n";
+                std::cerr << "waited in vain at line " << place.line() << "\n"
+                          << logged.str() << text() << "\n";
             assert(std::chrono::steady_clock::now() < end);
             io.run_one_for(std::chrono::milliseconds(20));
         }
--- a/tests/membership/tls_test.cpp
+++ b/tests/membership/tls_test.cpp
@@ -1,5 +1,5 @@
-// A registry over TLS: the engine by its bytes, files that cannot be used, and a source on loopback against grpc++'s
-// own TLS, through wrong, old and replaced certificates.
+// A registry over TLS: the engine by its bytes, files that cannot be used, and a source on loopback against
+// grpc++'s own TLS, through wrong, old and replaced certificates.
 #undef NDEBUG
 #include "base/bad_input.hpp"
 #include "membership/etcd/follower.hpp"
@@ -19,7 +19,8 @@
 namespace {
 
 struct Folder {
-    Folder() : path(std::filesystem::temp_directory_path() / ("pineridge-tls-" + std::to_string(::getpid()))) {
+    Folder()
+        : path(std::filesystem::temp_directory_path() / ("pineridge-tls-" + std::to_string(::getpid()))) {
         std::filesystem::create_directories(path);
     }
     ~Folder() { std::filesystem::remove_all(path); }
@@ -45,7 +46,8 @@
     const Folder folder;
     const Authority authority("one");
     const Papers mine = authority.issue("router"), other = authority.issue("other");
-    const std::string ca = folder.put("ca", authority.certificate()), own = folder.put("own", mine.certificate);
+    const std::string ca = folder.put("ca", authority.certificate()),
+                      own = folder.put("own", mine.certificate);
     const std::string key = folder.put("key", mine.key), wrong = folder.put("wrong", other.key);
     assert(fault_of({ca, own, key, ""}).empty());
     assert(fault_of({ca + "-", own, key, ""}).find(ca + "-: ") == 0);
@@ -105,7 +107,8 @@
     world.registry.put("/hosts/b", host_value("in_service"));
     world.until_list("a-b+");
     // Larger than one record of TLS, in one answer.
-    for (int i = 0; i < 300; ++i) world.registry.put("/hosts/c" + std::to_string(i), host_value("in_service"));
+    for (int i = 0; i < 300; ++i)
+        world.registry.put("/hosts/c" + std::to_string(i), host_value("in_service"));
     world.until([&] { return world.list.size() == 302; });
     assert(!world.said("token-of-ours") && !world.said("PRIVATE"));
 }
@@ -119,8 +122,8 @@
     assert(!world.source->view().synced());
 }
 
-// Nothing is told to, or believed of, a registry that is not the one; new files are taken while it runs, bad ones
-// are not.
+// Nothing is told to, or believed of, a registry that is not the one; new files are taken while it runs, bad
+// ones are not.
 void wrong_and_old_certificates_and_files_that_change() {
     const Folder folder;
     const Authority theirs("theirs"), foreign("foreign");
--- a/tests/membership/wire_test.cpp
+++ b/tests/membership/wire_test.cpp
@@ -1,5 +1,6 @@
-// The etcd follower by its bytes against a server made of nghttp2's own frames: GOAWAY and RST_STREAM in the midst,
-// windows that never open, frames and messages of absurd length, protobuf that does not parse, bytes cut anywhere.
+// The etcd follower by its bytes against a server made of nghttp2's own frames: GOAWAY and RST_STREAM in the
+// midst, windows that never open, frames and messages of absurd length, protobuf that does not parse, bytes
+// cut anywhere.
 #undef NDEBUG
 #include "list_value.hpp"
 #include "membership/etcd/follower.hpp"
@@ -30,13 +31,14 @@
         nghttp2_session_callbacks_new(&callbacks);
         nghttp2_session_callbacks_set_on_frame_recv_callback(
             callbacks, [](nghttp2_session *, const nghttp2_frame *frame, void *user) {
-                if (frame->hd.type == NGHTTP2_HEADERS) static_cast<Server *>(user)->calls.push_back(frame->hd.stream_id);
+                if (frame->hd.type == NGHTTP2_HEADERS)
+                    static_cast<Server *>(user)->calls.push_back(frame->hd.stream_id);
                 if (frame->hd.type == NGHTTP2_RST_STREAM) ++static_cast<Server *>(user)->resets;
                 return 0;
             });
         nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
-            callbacks, [](nghttp2_session *, std::uint8_t, std::int32_t, const std::uint8_t *bytes, std::size_t size,
-                          void *user) {
+            callbacks, [](nghttp2_session *, std::uint8_t, std::int32_t, const std::uint8_t *bytes,
+                          std::size_t size, void *user) {
                 static_cast<Server *>(user)->text.append(reinterpret_cast<const char *>(bytes), size);
                 return 0;
             });
@@ -70,8 +72,9 @@
     void send(std::int32_t call, const std::string &bytes, int end = -1) {
         unsent[call] = {bytes, end};
         nghttp2_data_provider provider{};
-        provider.read_callback = [](nghttp2_session *its, std::int32_t id, std::uint8_t *into, std::size_t size,
-                                    std::uint32_t *flags, nghttp2_data_source *, void *user) -> ssize_t {
+        provider.read_callback = [](nghttp2_session *its, std::int32_t id, std::uint8_t *into,
+                                    std::size_t size, std::uint32_t *flags, nghttp2_data_source *,
+                                    void *user) -> ssize_t {
             auto &[text, status] = static_cast<Server *>(user)->unsent[id];
             const std::size_t more = std::min(size, text.size());
             std::memcpy(into, text.data(), more);
@@ -91,8 +94,8 @@
     }
     static nghttp2_nv pair(const char *name, const char *value) {
         return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)),
-                reinterpret_cast<std::uint8_t *>(const_cast<char *>(value)), std::strlen(name), std::strlen(value),
-                NGHTTP2_NV_FLAG_NONE};
+                reinterpret_cast<std::uint8_t *>(const_cast<char *>(value)), std::strlen(name),
+                std::strlen(value), NGHTTP2_NV_FLAG_NONE};
     }
 
     nghttp2_session *session = nullptr;
@@ -114,7 +117,8 @@
             const std::string up = follower.output(), down = server.output();
             moved = !up.empty() || !down.empty();
             if (!up.empty()) server.feed(up);
-            for (std::size_t at = 0; at < down.size(); at += piece) follower.feed(down.substr(at, piece), now);
+            for (std::size_t at = 0; at < down.size(); at += piece)
+                follower.feed(down.substr(at, piece), now);
         }
     }
     static pb::RangeResponse page(int hosts) {
@@ -195,7 +199,8 @@
     assert(world.text() == "a-b-c+");
 }
 
-// The connection breaks in the midst of a frame: the half tells nothing, the next watch begins behind what was told.
+// The connection breaks in the midst of a frame: the half tells nothing, the next watch begins behind what
+// was told.
 void half_a_frame_is_none() {
     World world;
     world.read_and_watch();
@@ -267,7 +272,8 @@
     large.settle();
     // What the watch would tell is passed by: the whole is read, on the same connection.
     assert(!large.follower.dead() && large.server.resets == 1 && large.server.calls.size() == 3);
-    assert(large.view.take_lines().back().find("has missed a message of 2147483647 bytes") != std::string::npos);
+    assert(large.view.take_lines().back().find("has missed a message of 2147483647 bytes") !=
+           std::string::npos);
 
     World packed;
     packed.read_and_watch();
--- a/tests/release/command_test.cpp
+++ b/tests/release/command_test.cpp
@@ -22,11 +22,13 @@
     town.desk.tell("offer booking/7 needs donor/3 released");
     town.desk.tell("stage booking/7 north acme 2");
 
-    const Ran checked = run(town.io, town.folder, program, {"check", "--settings", settings, "--config", config});
+    const Ran checked =
+        run(town.io, town.folder, program, {"check", "--settings", settings, "--config", config});
     assert(checked.status == 0 && has(checked, "cells 6, stages 3") && has(checked, "sound: n1"));
 
-    const Ran frozen = run(
-        town.io, town.folder, program, {"release", "freeze", "--settings", settings, "--id", "appeal", "--customer", "acme"});
+    const Ran frozen =
+        run(town.io, town.folder, program,
+            {"release", "freeze", "--settings", settings, "--id", "appeal", "--customer", "acme"});
     assert(frozen.status == 0 && has(frozen, "{\"rev\":4}"));
     assert(town.desk.ledger().frozen("booking", {"south", "acme"}, Town::now()));
 
@@ -35,11 +37,12 @@
            has(told, "freeze appeal: zone all, customer acme"));
     assert(has(told, "build booking/7") && has(told, "frozen"));
 
-    const Ran lifted =
-        run(town.io, town.folder, program, {"release", "freeze", "--desk", town.desk.address(), "--id", "appeal", "--lift"});
+    const Ran lifted = run(town.io, town.folder, program,
+                           {"release", "freeze", "--desk", town.desk.address(), "--id", "appeal", "--lift"});
     assert(lifted.status == 0 && !town.desk.ledger().frozen("booking", {"south", "acme"}, Town::now()));
 
-    const Ran planned = run(town.io, town.folder, program, {"release", "plan", "--settings", settings, "--build", "7"});
+    const Ran planned =
+        run(town.io, town.folder, program, {"release", "plan", "--settings", settings, "--build", "7"});
     assert(planned.status == 0 &&
            has(planned, "wave 1: north/acme north/bern north/cord\nwave 2: south/acme"));
 
--- a/tests/release/loopback_test.cpp
+++ b/tests/release/loopback_test.cpp
@@ -61,8 +61,8 @@
             until([&] { return town.clients.open() == 0; }, place);
         }
     }
-    // RPCs of this customer, until so many picks in all have reached the build: how many of an even mix go there
-    // is the module's, by what it sees of hosts under whatever else this machine does.
+    // RPCs of this customer, until so many picks in all have reached the build: how many of an even mix go
+    // there is the module's, by what it sees of hosts under whatever else this machine does.
     void ask_until(const std::string &customer, int build, int picks) {
         until([&] {
             if (picks_at(build, customer) >= picks) return true;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -101,7 +101,8 @@
     assert(fault(plain, R"(<tls ca="/ca"/>)") == "f.xml:1: tls.ca: beside plaintext");
     assert(fault("", R"(<tls ca="/ca" certificate="/c"/>)") ==
            "f.xml:1: tls.certificate: goes with key, and key with it");
-    assert(fault(plain, R"(<register key="/h/me"/>)") == "f.xml:1: register.key: under prefix, where hosts are");
+    assert(fault(plain, R"(<register key="/h/me"/>)") ==
+           "f.xml:1: register.key: under prefix, where hosts are");
     assert(fault(plain + " kind=\"blocking\"", R"(<register key="/r"/>)") ==
            "f.xml:1: register.key: kind blocking registers none");
     assert(fault(plain + " kind=\"zoo\"", "").find("f.xml:1: ") == 0);
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -60,7 +60,6 @@
     int taken = 0, closed = 0; // connections
 };
 
-
 std::string sized(const std::string &body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
