One router on a test's loop for both test worlds; a doubt's end derived from its beginning

Read again, behaviour unchanged: two test worlds started a router by the same lines; the view kept when a doubt began and when it ends, of which one follows from the other; an endpoint's text was made twice for each connection.

--- a/src/membership/source.cpp
+++ b/src/membership/source.cpp
@@ -69,23 +69,21 @@
         }
         if (!view_.synced() || view_.age() > plot_.quiet)
             if (const Ticks wait = ends_.read_wait(); wait > 0) co_await pause(wait);
-        const std::string why = co_await follow(at);
-        if (stopped_) co_return;
-        ends_.bad(at, clock_());
         std::ostringstream address;
         address << plot_.endpoints[at];
+        const std::string why = co_await follow(at, address.str());
+        if (stopped_) co_return;
+        ends_.bad(at, clock_());
         log_.event(Level::info, "registry.left",
                    {{"endpoint", address.str()}, {"why", why}, {"rev", view_.revision()}});
     }
 }
 
-asio::awaitable<std::string> Source::follow(int at) {
-    std::ostringstream address;
-    address << plot_.endpoints[at];
+asio::awaitable<std::string> Source::follow(int at, const std::string &address) {
     view_.clock(clock_());
     const std::uint64_t before = view_.words();
     const std::string why =
-        co_await pump_.run(plot_.endpoints[at], plot_.follow(view_, address.str()), [this, at, before] {
+        co_await pump_.run(plot_.endpoints[at], plot_.follow(view_, address), [this, at, before] {
             view_.clock(clock_());
             if (view_.synced() && view_.words() > before) ends_.good(at);
             flush();
--- a/src/membership/source.hpp
+++ b/src/membership/source.hpp
@@ -39,7 +39,7 @@
 
   private:
     asio::awaitable<void> run();
-    asio::awaitable<std::string> follow(int at); // why it ended
+    asio::awaitable<std::string> follow(int at, const std::string &address); // why it ended
     asio::awaitable<void> pause(Ticks span);
     void flush();
     void start_from_known();
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -16,14 +16,14 @@
         confirm_at_ = -1;
         if (!doubted_.empty()) ask_ = Ask::whole;
     }
-    if (doubt_until_ < 0 || now_ < doubt_until_) return;
+    if (doubt_since_ < 0 || now_ < doubt_since_ + rules_.doubt_for) return;
     lines_.push_back("doubt over: " + std::to_string(doubted_.size()) + " hosts gone for good");
     let_go();
 }
 
 void View::let_go() {
     for (const std::string &key : std::exchange(doubted_, {})) remove(key);
-    doubt_until_ = doubt_since_ = -1;
+    doubt_since_ = -1;
 }
 
 void View::heard(std::int64_t rev) {
@@ -109,7 +109,7 @@
         doubted_ = lacking;
         let_go();
     } else {
-        if (doubt_until_ < 0) doubt_until_ = now_ + rules_.doubt_for, doubt_since_ = now_;
+        if (doubt_since_ < 0) doubt_since_ = now_;
         lines_.push_back("doubt: " + std::to_string(lacking.size()) + " of " + std::to_string(usable) +
                          " hosts missing at revision " + std::to_string(rev));
         doubted_ = std::move(lacking);
@@ -136,7 +136,7 @@
     if (at == held_.end() && gone != gone_.end() && record.rev <= gone->second) return;
     heard(record.rev);
     doubted_.erase(record.key);
-    if (doubted_.empty()) doubt_until_ = doubt_since_ = -1;
+    if (doubted_.empty()) doubt_since_ = -1;
     if (!record.gone) return put(record);
     gone_[record.key] = record.rev;
     if (gone_.size() > rules_.most) gone_.erase(gone_.begin());
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -91,7 +91,7 @@
     void name_fault(const Record &record);
 
     const ViewRules rules_;
-    Ticks now_ = 0, told_at_ = -1, lag_since_ = -1, doubt_until_ = -1, doubt_since_ = -1, confirm_at_ = -1;
+    Ticks now_ = 0, told_at_ = -1, lag_since_ = -1, doubt_since_ = -1, confirm_at_ = -1;
     std::int64_t rev_ = 0;
     std::uint64_t words_ = 0;
     bool synced_ = false, reading_ = false;
--- a/tests/membership/world.hpp
+++ b/tests/membership/world.hpp
@@ -1,7 +1,7 @@
 // A whole router that has its hosts from a stand-in registry, with traffic; for the test and the measurement.
 #pragma once
 
-#include "router/service.hpp"
+#include "../served.hpp"
 #include "standins/registry/registry.hpp"
 #include "standins/town/town.hpp"
 
@@ -23,24 +23,18 @@
             << R"(<pineridge xmlns="urn:pineridge:settings:1"><registry prefix="/hosts/" plaintext="true"><endpoint address=")"
             << registry.address()
             << R"("/><watch progress-s="0.1" quiet-s="0.5" look-s="0.4" answer-s="0.5"/></registry></pineridge>)";
-        start = router::read_start_file((town.folder / "config.json").string(),
-                                        [](const char *) { return nullptr; });
-        router::take_wishes(start, read_wishes_file((town.folder / "settings.xml").string()));
-        log.emplace(logged, "n1", Level::info);
-        service = std::make_unique<router::Service>(
-            io, (town.folder / "config.json").string(), [](const char *) { return nullptr; }, start, *log,
-            [] {});
+        served.begin(io, town.folder);
         until([&] { return said("serving") && registry.watches() > 0; });
         town.flow("acme", 500);
     }
     ~RegistryWorld() { town.stop(); }
 
     void put(const standins::Host &host) { registry.put("/hosts/" + host.id, host.entry().dump()); }
-    bool said(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+    bool said(const std::string &part) const { return served.has_logged(part); }
     void until(const std::function<bool()> &held) {
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
         while (!held()) {
-            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str();
+            if (std::chrono::steady_clock::now() > end) std::cerr << served.logged.str();
             assert(std::chrono::steady_clock::now() < end);
             io.run_one_for(std::chrono::milliseconds(5));
         }
@@ -83,10 +77,7 @@
     boost::asio::io_context io;
     standins::Town town;
     standins::Registry registry;
-    router::Start start;
-    std::ostringstream logged;
-    std::optional<Log> log;
-    std::unique_ptr<router::Service> service;
+    Served served;
 };
 
 } // namespace pineridge::test
--- a/tests/release/loopback_test.cpp
+++ b/tests/release/loopback_test.cpp
@@ -1,7 +1,7 @@
 // The hard cases on loopback: a whole router with stand-ins round it, decided by events. The checker reads
 // what the desk, the hosts and the clients saw.
 #undef NDEBUG
-#include "router/service.hpp"
+#include "../served.hpp"
 #include "standins/town/town.hpp"
 
 #include <cassert>
@@ -28,13 +28,7 @@
 
     void serve() {
         town.write_files();
-        start = router::read_start_file((town.folder / "config.json").string(),
-                                        [](const char *) { return nullptr; });
-        router::take_wishes(start, read_wishes_file((town.folder / "settings.xml").string()));
-        log.emplace(logged, "n1", Level::info);
-        service = std::make_unique<router::Service>(
-            io, (town.folder / "config.json").string(), [](const char *) { return nullptr; }, start, *log,
-            [] {});
+        served.begin(io, town.folder);
         until([&] { return has_logged("serving"); });
     }
     void until(const std::function<bool()> &held,
@@ -44,7 +38,7 @@
             if (std::chrono::steady_clock::now() > end) {
                 std::cerr << "waited in vain at line " << place.line() << ", RPCs open "
                           << town.clients.open() << "\n"
-                          << logged.str();
+                          << served.logged.str();
                 for (const Step &step : town.desk.ledger().steps())
                     std::cerr << step.at << " " << step.word << "\n";
             }
@@ -52,7 +46,7 @@
             io.run_one_for(std::chrono::milliseconds(20));
         }
     }
-    bool has_logged(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+    bool has_logged(const std::string &part) const { return served.has_logged(part); }
     // Says one RPC after another until so many more of this customer have been answered.
     void ask(const std::string &customer, int rpcs, const std::string &method = "lookup",
              const std::source_location &place = std::source_location::current()) {
@@ -93,10 +87,7 @@
 
     boost::asio::io_context io;
     Town town;
-    router::Start start;
-    std::ostringstream logged;
-    std::optional<Log> log;
-    std::unique_ptr<router::Service> service;
+    test::Served served;
     int keys = 0;
 };
 
--- /dev/null
+++ b/tests/served.hpp
@@ -0,0 +1,29 @@
+// A router on a test's own loop, told by the two files in a folder, with its log at hand.
+#pragma once
+
+#include "router/service.hpp"
+
+#include <filesystem>
+#include <optional>
+#include <sstream>
+
+namespace pineridge::test {
+
+struct Served {
+    void begin(boost::asio::io_context &io, const std::filesystem::path &folder) {
+        const std::string config = (folder / "config.json").string();
+        const router::Environment environment = [](const char *) { return nullptr; };
+        start = router::read_start_file(config, environment);
+        router::take_wishes(start, read_wishes_file((folder / "settings.xml").string()));
+        log.emplace(logged, "n1", Level::info);
+        service = std::make_unique<router::Service>(io, config, environment, start, *log, [] {});
+    }
+    bool has_logged(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
+
+    router::Start start;
+    std::ostringstream logged;
+    std::optional<Log> log;
+    std::unique_ptr<router::Service> service;
+};
+
+} // namespace pineridge::test
