--- a/bench/admission_stall.cpp
+++ b/bench/admission_stall.cpp
@@ -37,12 +37,17 @@
     Program router(town.folder, program, {"serve", "--config", (town.folder / "config.json").string()});
     while (router.said().find("serving") == std::string::npos) run_for(io, 20);
     for (const std::string &customer : plot.customers) town.flow(customer, rate / 3.0);
+    run_for(io, kCalm / 2); // connections are made
+    const double before = router.cpu_s();
     run_for(io, kCalm);
+    const double calm_cpu = router.cpu_s() - before;
     router.signal(SIGSTOP);
     run_for(io, stall);
     router.signal(SIGCONT);
     const std::int64_t woke = Town::now();
+    const double woken = router.cpu_s();
     run_for(io, kAfter);
+    const double after_cpu = router.cpu_s() - woken;
     town.stop();
     run_for(io, 1200);
     std::vector<int> asked(kAfter / kWindow + 1), good(kAfter / kWindow + 1);
@@ -68,7 +73,8 @@
               << (back < 0 ? "never back in 8 s" : "back after " + std::to_string(back) + " ms") << ";";
     for (const auto &[answer, count] : answers)
         std::cout << " " << (answer.empty() ? "open" : answer) << " " << count;
-    std::cout << std::endl;
+    std::cout << "; CPU calm " << calm_cpu * 1000 / kCalm << ", after " << after_cpu * 1000 / kAfter
+              << " of a core" << std::endl;
 }
 
 } // namespace
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace pineridge::router::clients {
 
@@ -12,6 +13,18 @@
 using asio::use_awaitable;
 using Clock = std::chrono::steady_clock;
 
+// What the kernel knows of a connection: has its client closed, and how long has what it sent last lain here?
+struct Heard {
+    bool closed = false;
+    Span age{0};
+};
+Heard heard(int socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {true, Span(0)};
+    return {info.tcpi_state != TCP_ESTABLISHED, Span(info.tcpi_last_data_recv)};
+}
+
 } // namespace
 
 class Client : public std::enable_shared_from_this<Client> {
@@ -36,6 +49,7 @@
             session_.feed({room.data(), size});
             home_.busy(*this);
             since_ = Clock::now();
+            age_ = home_.late(socket_.native_handle(), since_);
             take_commands();
             write();
         }
@@ -71,6 +85,7 @@
         for (const auto &[place, id] : std::exchange(waiting_, {})) home_.desk_.left(id);
         home_.busy(*this);
         home_.open_.erase(shared_from_this());
+        home_.room_.cancel();
     }
 
     std::optional<std::list<Client *>::iterator> resting; // its place among the idle ones
@@ -98,7 +113,7 @@
             waiting_.emplace_back(place, asked.id);
             home_.last_rpc_ = Clock::now();
             home_.desk_.rpc({shared_from_this(), place},
-                            std::make_shared<const Held>(session_.command(), asked));
+                            std::make_shared<const Held>(session_.command(), asked), age_);
         } catch (const BadInput &bad) {
             home_.log_(Level::debug, "a bad command: ", bad.what());
             session_.answer(place, std::string("-ERR ") + bad.what() + "\r\n");
@@ -139,11 +154,12 @@
     Session session_;
     std::vector<std::pair<std::uint64_t, std::string>> waiting_; // places and ids of RPCs without an answer
     Clock::time_point since_;
+    Span age_{0}; // of what was read last, by then
     bool writing_ = false, closed_ = false, broken_ = false, used_ = false;
 };
 
 Clients::Clients(asio::io_context &io, const Start &start, const Log &log, Desk &desk)
-    : io_(io), start_(start), log_(log), desk_(desk), acceptor_(io) {}
+    : io_(io), start_(start), log_(log), desk_(desk), acceptor_(io), room_(io) {}
 
 void Clients::listen() {
     if (leaving_) return;
@@ -183,27 +199,79 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const auto client = std::make_shared<Client>(*this, std::move(socket));
     open_.insert(client);
-    make_room(start_.limits.kept);
+    make_room(start_.limits.kept, start_.limits.looked_at);
     asio::co_spawn(io_, client->serve(), detached);
 }
 
+// Takes connections in turns, up to the clients' share of the descriptors; the rest wait in the kernel's
+// queue. Stops a storm of connections from taking those that reach hosts, after which nothing is answered and
+// clients come again for ever. One whose client has given up is closed unread: what it costs has to be less
+// than what a client's next try costs, or the queue only grows.
 asio::awaitable<void> Clients::accept() {
-    asio::steady_timer timer(io_);
+    const Limits &limits = start_.limits;
+    boost::system::error_code failed;
+    acceptor_.non_blocking(true, failed);
     while (acceptor_.is_open()) {
-        auto [failed, socket] = co_await acceptor_.async_accept(as_tuple(use_awaitable));
-        if (!failed) {
-            begin(std::move(socket));
+        if (open_.size() >= limits.clients) make_room(limits.clients - limits.accepts, 2 * limits.accepts);
+        if (open_.size() >= limits.clients) {
+            note_full();
+            room_.expires_after(limits.rested);
+            co_await room_.async_wait(as_tuple(use_awaitable));
             continue;
         }
+        std::tie(failed) = co_await acceptor_.async_wait(acceptor_.wait_read, as_tuple(use_awaitable));
         if (failed == asio::error::operation_aborted) break;
-        log_(Level::warning, "accept: ", failed.message(), ", clients ", open_.size());
-        desk_.crowded();
-        make_room(start_.limits.clients);
-        timer.expires_after(start_.limits.accept_pause);
-        co_await timer.async_wait(use_awaitable);
+        bool none = false;
+        for (std::size_t i = 0; i < limits.accepts && open_.size() < limits.clients && !none; ++i)
+            none = !take_one(failed);
+        if (failed && failed != asio::error::would_block && failed != asio::error::connection_aborted) {
+            log_(Level::warning, "accept: ", failed.message(), ", clients ", open_.size());
+            desk_.crowded();
+            make_room(limits.clients, limits.looked_at);
+            room_.expires_after(limits.accept_pause);
+            co_await room_.async_wait(as_tuple(use_awaitable));
+        }
+        if (!none) co_await asio::post(io_, use_awaitable); // what was read has its turn
     }
 }
 
+bool Clients::take_one(boost::system::error_code &failed) {
+    const int taken = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    failed = taken < 0 ? boost::system::error_code(errno, boost::system::system_category())
+                       : boost::system::error_code();
+    if (taken < 0) return false;
+    const Heard known = heard(taken);
+    if (known.closed) {
+        ::close(taken);
+        ++given_up_;
+        return true;
+    }
+    asio::ip::tcp::socket socket(io_);
+    socket.assign(start_.listen.protocol(), taken, failed);
+    if (failed)
+        ::close(taken);
+    else
+        begin(std::move(socket));
+    return true;
+}
+
+// How long what was just read has lain unread. Looked up for one read in some while nothing lies, for each
+// once something does: only then does the time a client has left differ from what it told.
+Span Clients::late(int socket, Clock::time_point now) {
+    if (now >= late_until_ && ++reads_ % start_.limits.late_looks != 0) return Span(0);
+    const Span age = heard(socket).age;
+    if (age < start_.limits.late_least) return Span(0);
+    late_until_ = now + start_.limits.late_for;
+    return age;
+}
+
+void Clients::note_full() {
+    const auto now = Clock::now();
+    if (now < full_said_ + start_.limits.sweep) return;
+    full_said_ = now;
+    log_(Level::info, "door: full, clients ", open_.size(), ", closed for having given up ", given_up_);
+}
+
 void Clients::rest(Client &client) {
     if (!client.resting) client.resting = idle_.insert(idle_.end(), &client);
 }
@@ -215,10 +283,11 @@
 // Closes those idle longest, until so many connections are left. Stops idle ones, of clients that ask once
 // and stay, from using up the descriptors, which would leave new ones unheard and hosts out of reach. One
 // that has yet to send its first command is left: it may be under way.
-void Clients::make_room(std::size_t most) {
-    std::size_t left = start_.limits.looked_at;
+void Clients::make_room(std::size_t most, std::size_t left) {
+    const auto now = Clock::now();
     for (auto at = idle_.begin(); at != idle_.end() && open_.size() > most && left-- > 0;) {
         Client &client = **at++;
+        if (now - client.since() < start_.limits.rested) break; // its client may be about to use it
         if (client.used() && client.idle()) client.close();
     }
 }
@@ -249,12 +318,7 @@
         co_await timer.async_wait(use_awaitable);
     }
     boost::system::error_code failed;
-    acceptor_.non_blocking(true, failed);
-    while (!failed) {
-        asio::ip::tcp::socket socket(io_);
-        acceptor_.accept(socket, failed);
-        if (failed) break;
-        begin(std::move(socket));
+    while (take_one(failed)) {
     }
     acceptor_.close(failed);
     while (!open_.empty()) {
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -27,7 +27,8 @@
 // What clients ask for, taken by the core.
 struct Desk {
     virtual ~Desk() = default;
-    virtual void rpc(Reply reply, std::shared_ptr<const Held> held) = 0;
+    // `age`: how long it has lain unread.
+    virtual void rpc(Reply reply, std::shared_ptr<const Held> held, Span age) = 0;
     virtual void left(const std::string &id) = 0;
     virtual void crowded() = 0; // no descriptor left: idle ones are to be freed
 };
@@ -48,7 +49,10 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> watch_leave(std::function<void()> done);
     void close_idle(std::chrono::milliseconds unused_for);
-    void make_room(std::size_t most);
+    void make_room(std::size_t most, std::size_t looked_at);
+    bool take_one(boost::system::error_code &failed); // false: nothing was there to take
+    Span late(int socket, std::chrono::steady_clock::time_point now);
+    void note_full();
     void rest(Client &client);
     void busy(Client &client);
     void begin(asio::ip::tcp::socket socket);
@@ -61,6 +65,9 @@
     std::unordered_set<std::shared_ptr<Client>> open_;
     std::list<Client *> idle_; // of them, the one idle longest first
     std::chrono::steady_clock::time_point last_rpc_{}; // when it came
+    asio::steady_timer room_; // ends early when a connection has closed
+    std::chrono::steady_clock::time_point late_until_{}, full_said_{};
+    std::uint64_t reads_ = 0, given_up_ = 0;
     bool leaving_ = false;
 };
 
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -149,13 +149,13 @@
 
 // --- RPCs ---
 
-void Driver::rpc(clients::Reply reply, std::shared_ptr<const clients::Held> held) {
+void Driver::rpc(clients::Reply reply, std::shared_ptr<const clients::Held> held, Span age) {
     const clients::Asked &asked = held->asked;
     const std::string id(asked.id);
     const auto [at, fresh] = rpcs_.try_emplace(id, Rpc{reply, held});
     if (!fresh) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
     Router &to = module();
-    const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead).count();
+    const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead + age).count();
     const int cell = office_ ? office_->cell_of(asked.tenant) : -1;
     at->second.cell = cell;
     if (office_) office_->arrived(cell);
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -34,7 +34,7 @@
         std::vector<std::shared_ptr<hosts::Call>> picks{};
     };
 
-    void rpc(clients::Reply reply, std::shared_ptr<const clients::Held> held) override;
+    void rpc(clients::Reply reply, std::shared_ptr<const clients::Held> held, Span age) override;
     void left(const std::string &id) override;
     void crowded() override;
 
--- a/standins/program/program.cpp
+++ b/standins/program/program.cpp
@@ -48,6 +48,18 @@
     if (!over_) ::kill(pid_, number);
 }
 
+double Program::cpu_s() const {
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string all;
+    std::getline(stat, all);
+    std::istringstream after(all.substr(std::min(all.size(), all.rfind(')') + 1)));
+    std::string skipped;
+    double user = 0, kernel = 0;
+    for (int i = 0; i < 11; ++i) after >> skipped;
+    after >> user >> kernel;
+    return (user + kernel) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 long Program::memory_kb() const {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
     for (std::string word; status >> word;)
--- a/standins/program/program.hpp
+++ b/standins/program/program.hpp
@@ -26,6 +26,7 @@
     int status() const { return status_; }
     void signal(int number) const;
     std::string said() const;
+    double cpu_s() const; // used so far; 0 where it has ended
     long memory_kb() const; // resident; 0 where it has ended
 
   private:
