--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -25,6 +25,8 @@
     std::size_t dials = 1; // to one host at once: what comes free serves the rest
     std::size_t warm = 3; // to one host, before the first clients
     std::size_t looked_at = 4; // idle clients looked at to make room for a new one
+    std::size_t at_door = 8; // connections beyond the clients' share that wait for a front's header
+    int backlog = 256; // connections in the kernel's queue: longer, what comes out of it has been given up on
     std::size_t accepts = 32; // connections taken in one turn
     std::size_t late_looks = 16; // one read in so many is asked how long it has lain, while none has
 
@@ -66,9 +68,12 @@
     Span retry_least{200}, retry_most{3000}; // pauses of the stream, doubling, spread
     Span settle{1}; // between a host's answer and the next use of its connection: what is stray shows then
     Span listen_for{10000}; // an address in use, by a router that has yet to end, is tried again for so long
-    Span rested{3}; // a client's connection idle for less is not closed for room: its next command may be under way
+    Span rested{100}; // a client's connection idle for less is not closed for room: it is in use, and its
+                      // next command may be under way
     Span accept_pause{5}; // after an accept that found no descriptor
-    Span late_least{8}; // what has lain unread for less is as good as fresh: the kernel's clock has steps of 4
+    Span crammed_pause{20}; // until a client that is owed answers is read again where memory is short
+    Span late_least{
+        8}; // what has lain unread for less is as good as fresh: the kernel's clock has steps of 4
     Span late_for{100}; // after one that has lain, each read is asked
     Span sweep{1000}; // how often idle connections are looked at
     Span leave_quiet{700}; // after SIGTERM: so long without an RPC ends accepting
--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -30,12 +30,16 @@
                           << ", freezes " << scheme->freezes.size() << ", dependencies "
                           << scheme->needs.size();
             if (wishes->registry) std::cout << ", registry endpoints " << wishes->registry->endpoints.size();
+            if (const auto &entrance = wishes->entrance)
+                std::cout << ", crowds " << entrance->crowds.size() << ", networks "
+                          << entrance->networks.size();
             std::cout << '\n';
         }
         if (config->empty()) return 0;
         const router::Start start =
             router::read_start_file(asked->path, [](const char *name) { return std::getenv(name); });
         if (wishes && wishes->release) router::check_fits(start, *wishes->release);
+        if (wishes && wishes->entrance) router::check_fits(start, *wishes->entrance);
         std::cout << "sound: " << start.name << ", methods " << start.names.methods.size() << ", descriptors "
                   << start.limits.descriptors << '\n';
         return 0;
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -16,5 +16,6 @@
 Command version(CLI::App &app);
 Command release(CLI::App &app);
 Command registry(CLI::App &app);
+Command admission(CLI::App &app);
 
 } // namespace pineridge::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -19,7 +19,10 @@
 int run(const Asked &asked) {
     const router::Environment environment = [](const char *name) { return std::getenv(name); };
     router::Start start = router::read_start_file(asked.path, environment);
-    if (!asked.settings.empty()) router::take_wishes(start, load_wishes_file(asked.settings));
+    if (!asked.settings.empty()) {
+        start.wishes_again = [path = asked.settings] { return load_wishes_file(path); };
+        router::take_wishes(start, start.wishes_again());
+    }
     const Log log(std::cerr, start.name, asked.level, asked.form);
     boost::asio::io_context io(1);
     const router::Service service(io, asked.path, environment, start, log, [&] { io.stop(); });
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -1,5 +1,7 @@
 #include "router/clients/clients.hpp"
 
+#include "net/proxy/proxy.hpp"
+
 #include <algorithm>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -29,16 +31,27 @@
 
 class Client : public std::enable_shared_from_this<Client> {
   public:
-    Client(Clients &home, asio::ip::tcp::socket socket)
+    Client(Clients &home, asio::ip::tcp::socket socket, bool behind_front)
         : home_(home), socket_(std::move(socket)), resume_(socket_.get_executor()),
-          session_(home.start_.limits), since_(Clock::now()) {}
+          session_(home.start_.limits), since_(Clock::now()), needs_head_(behind_front) {
+        guest_.owner = this;
+    }
+
+    // Its seat, with the door's word on it.
+    admission::Reception come_in(const asio::ip::address &from) {
+        const admission::Reception said = home_.door_->opened(guest_, number_of(from), home_.now());
+        seated_ = said.welcome();
+        return said;
+    }
 
     asio::awaitable<void> serve() {
         const auto self = shared_from_this();
         std::vector<char> room(home_.start_.limits.first_read);
         while (!closed_ && !broken_) {
-            if (!session_.reads()) {
-                resume_.expires_at(Clock::time_point::max());
+            const bool short_of_memory = session_.owes() && home_.crammed();
+            if (!session_.reads() || short_of_memory) {
+                resume_.expires_at(short_of_memory ? Clock::now() + home_.start_.limits.crammed_pause
+                                                   : Clock::time_point::max());
                 co_await resume_.async_wait(as_tuple(use_awaitable));
                 continue;
             }
@@ -46,21 +59,27 @@
                 co_await socket_.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
             if (failed) break;
             if (size == room.size() && size < home_.start_.limits.read_step) room.resize(size * 2);
-            session_.feed({room.data(), size});
             home_.busy(*this);
             since_ = Clock::now();
+            if (needs_head_ ? !take_head({room.data(), size}) : (session_.feed({room.data(), size}), false)) {
+                if (broken_) break;
+                continue;
+            }
             age_ = home_.late(socket_.native_handle(), since_);
             take_commands();
             write();
+            weigh(room.size());
         }
         // The client has left, or is answered for its bad bytes; what it still waits for ends here.
-        if (!broken_ || closed_) leave();
+        if (!broken_ || closed_ || closing_) leave();
     }
 
     void answer(std::uint64_t place, std::string bytes) {
         if (closed_) return;
+        const bool served = bytes[0] == '$' || bytes[0] == '*';
         session_.answer(place, std::move(bytes));
-        std::erase_if(waiting_, [&](const auto &at) { return at.first == place; });
+        if (std::erase_if(waiting_, [&](const auto &at) { return at.first == place; }) > 0 && seated_)
+            answered_.push_back(served);
         write();
     }
 
@@ -69,12 +88,44 @@
         return session_.idle() && !writing_ && socket_.available(failed) == 0;
     }
     bool used() const { return used_; }
+    void unseat() {
+        if (std::exchange(seated_, false)) home_.door_->left(guest_);
+        answered_.clear();
+    }
     Clock::time_point since() const { return since_; }
+    // Its first command, where it is there already, is pushed back; then it is closed. Costs a read, a write
+    // and a close, as a flood is met by this.
+    void turn_away(Ticks back) {
+        std::array<char, 4096> room;
+        boost::system::error_code failed;
+        const std::size_t size = socket_.read_some(asio::buffer(room), failed);
+        if (!failed) {
+            session_.feed({room.data(), size});
+            if (session_.next() == Session::Next::command) {
+                const std::string answer = "-BUSY " + std::to_string((back + 9) / 10) + "\r\n";
+                socket_.write_some(asio::buffer(answer), failed);
+            }
+        }
+        closed_ = true;
+        socket_.close(failed);
+    }
     bool stuck(Clock::time_point now) const {
         const Limits &limits = home_.start_.limits;
-        return (writing_ && now - since_ > limits.unread_answers) ||
-               (!session_.owes() && session_.half_read() && now - since_ > limits.half_command);
+        const Entrance *const rules = home_.rules_.get();
+        const auto told = [&](Ticks Entrance::*span, Span otherwise) {
+            return rules ? Span(rules->*span / 10) : otherwise;
+        };
+        const Span quiet = std::chrono::floor<Span>(now - since_);
+        if (writing_) return quiet > told(&Entrance::unread, limits.unread_answers);
+        if (session_.owes()) return false;
+        if (session_.half_read() || needs_head_)
+            return std::chrono::floor<Span>(now -
+                                            (half_since_ == Clock::time_point{} ? since_ : half_since_)) >
+                   told(&Entrance::whole_command, limits.half_command);
+        return rules && !used_ && quiet > told(&Entrance::first_byte, limits.half_command);
     }
+    std::size_t bytes() const { return bytes_; }
+    bool owes() const { return session_.owes(); }
 
     void close() {
         if (closed_) return;
@@ -83,6 +134,8 @@
         socket_.close(ignored);
         resume_.cancel();
         for (const auto &[place, id] : std::exchange(waiting_, {})) home_.desk_.left(id);
+        if (std::exchange(seated_, false)) home_.door_->left(guest_);
+        home_.held_bytes_ -= std::exchange(bytes_, 0);
         home_.busy(*this);
         home_.open_.erase(shared_from_this());
         home_.room_.cancel();
@@ -91,6 +144,38 @@
     std::optional<std::list<Client *>::iterator> resting; // its place among the idle ones
 
   private:
+    // The front's header, then whose seat it is. False: more is needed, or it is broken.
+    bool take_head(std::string_view bytes) {
+        head_.append(bytes);
+        proxy::Header header;
+        const proxy::Scan got = proxy::scan(head_, header);
+        if (got == proxy::Scan::more) return false;
+        if (got == proxy::Scan::bad) {
+            home_.log_(Level::warning, "door: a front's header: ", header.fault);
+            broken_ = closing_ = true;
+            return false;
+        }
+        needs_head_ = false;
+        if (header.client && home_.door_) {
+            const admission::Reception said = come_in(*header.client);
+            if (said.instead) static_cast<Client *>(said.instead->owner)->close();
+            if (!said.welcome() && !home_.rules_->observe) refused_for_ = said.back;
+        }
+        session_.feed(std::string_view(head_).substr(header.size));
+        head_ = {};
+        return true;
+    }
+
+    void weigh(std::size_t room) {
+        const std::size_t now = session_.bytes() + head_.capacity() + room;
+        home_.held_bytes_ += now - bytes_;
+        bytes_ = now;
+        if (!session_.half_read())
+            half_since_ = {};
+        else if (half_since_ == Clock::time_point{})
+            half_since_ = Clock::now();
+    }
+
     void take_commands() {
         for (Session::Next got = session_.next(); got != Session::Next::none; got = session_.next()) {
             if (got == Session::Next::broken) {
@@ -105,12 +190,17 @@
 
     void take(const std::vector<std::string_view> &words) {
         const std::uint64_t place = session_.expect();
+        if (refused_for_ > 0) {
+            broken_ = true;
+            return session_.answer(place, "-BUSY " + std::to_string((refused_for_ + 9) / 10) + "\r\n");
+        }
         if (words[0] == "PING") return session_.answer(place, "+PONG\r\n");
         if (words[0] != "Q.ASK" && words[0] != "Q.DO")
             return session_.answer(place, "-ERR unknown command\r\n");
         try {
             const Asked asked = read_rpc(words, home_.start_.names, home_.start_.limits.word);
             waiting_.emplace_back(place, asked.id);
+            if (seated_) home_.door_->asked(guest_);
             home_.last_rpc_ = Clock::now();
             home_.desk_.rpc({shared_from_this(), place},
                             std::make_shared<const Held>(session_.command(), asked), age_);
@@ -138,12 +228,21 @@
                               if (failed) return self->leave();
                               self->session_.written();
                               self->since_ = Clock::now();
+                              self->settle();
                               if (!self->broken_) self->take_commands();
                               self->resume_.cancel();
                               self->write();
                           });
     }
 
+    // What has been written is answered: from then on the connection may go for another.
+    void settle() {
+        if (session_.owes() || closed_) return;
+        const auto answered = std::exchange(answered_, {});
+        if (seated_)
+            for (const bool served : answered) home_.door_->answered(guest_, served, home_.now());
+    }
+
     // A half-closed client cannot be told from one that has gone: its RPCs end. What it may still read is an
     // answer for each, so that none is without one.
     void leave() { close(); }
@@ -155,11 +254,60 @@
     std::vector<std::pair<std::uint64_t, std::string>> waiting_; // places and ids of RPCs without an answer
     Clock::time_point since_;
     Span age_{0}; // of what was read last, by then
+    Clock::time_point half_since_{}; // when the command under way began
+    admission::Guest guest_;
+    std::vector<bool> answered_; // RPCs whose answers are not all written: were they served?
+    std::string head_; // of a front, as far as it has come
+    std::size_t bytes_ = 0; // what it holds, as counted among all
+    Ticks refused_for_ = 0; // above 0: its first command is answered so, and it is closed
     bool writing_ = false, closed_ = false, broken_ = false, used_ = false;
+    bool needs_head_, seated_ = false, closing_ = false;
 };
 
 Clients::Clients(asio::io_context &io, const Start &start, const Log &log, Desk &desk)
-    : io_(io), start_(start), log_(log), desk_(desk), acceptor_(io), room_(io) {}
+    : io_(io), start_(start), log_(log), desk_(desk), acceptor_(io), room_(io) {
+    rules(start.entrance);
+}
+
+Ticks Clients::now() {
+    return std::chrono::floor<std::chrono::duration<Ticks, std::ratio<1, 10000>>>(
+               Clock::now().time_since_epoch())
+        .count();
+}
+
+// Those that came in while there was no door have no seat; they go by the older order.
+void Clients::rules(std::shared_ptr<const Entrance> rules) {
+    const auto before = std::exchange(rules_, std::move(rules)); // stands until the door has let go of it
+    if (!rules_) {
+        for (const auto &client : open_) client->unseat();
+        door_.reset();
+    } else if (door_) {
+        door_->rules(*rules_);
+    } else {
+        door_.emplace(*rules_, start_.limits.clients, start_.seed);
+    }
+}
+
+bool Clients::is_front(const asio::ip::address &from) const {
+    if (!rules_) return false;
+    const Number number = number_of(from);
+    return std::any_of(rules_->fronts.begin(), rules_->fronts.end(),
+                       [&](const Network &front) { return front.holds(number); });
+}
+
+// What goes first where memory is short: buffers of clients that are owed nothing, the largest first. Those
+// that are owed answers are not read from meanwhile (Client::serve).
+void Clients::shed() {
+    if (!crammed()) return;
+    std::vector<std::shared_ptr<Client>> large;
+    for (const auto &client : open_)
+        if (!client->owes()) large.push_back(client);
+    std::sort(large.begin(), large.end(),
+              [](const auto &a, const auto &b) { return a->bytes() > b->bytes(); });
+    std::size_t shed = 0;
+    for (; shed < large.size() && crammed(); ++shed) large[shed]->close();
+    log_(Level::warning, "door: memory of clients short, closed ", shed, ", held KiB ", held_bytes_ / 1024);
+}
 
 void Clients::listen() {
     if (leaving_) return;
@@ -171,7 +319,7 @@
     using Deferred = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_DEFER_ACCEPT>;
     acceptor_.set_option(Deferred(static_cast<int>(start_.limits.half_command.count() / 1000)));
     acceptor_.bind(start_.listen);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    acceptor_.listen(start_.limits.backlog);
     asio::co_spawn(io_, accept(), detached);
     asio::co_spawn(
         io_,
@@ -185,6 +333,7 @@
                 for (const auto &client : open_)
                     if (client->stuck(now)) stuck.push_back(client);
                 for (const auto &client : stuck) client->close();
+                shed();
             }
         },
         detached);
@@ -194,12 +343,18 @@
     reply.client->answer(reply.place, std::move(bytes));
 }
 
-void Clients::begin(asio::ip::tcp::socket socket) {
+void Clients::begin(asio::ip::tcp::socket socket, const asio::ip::address &from) {
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const auto client = std::make_shared<Client>(*this, std::move(socket));
+    const bool behind_front = is_front(from);
+    const auto client = std::make_shared<Client>(*this, std::move(socket), behind_front);
+    if (door_ && !behind_front) {
+        const admission::Reception said = client->come_in(from);
+        if (said.instead) static_cast<Client *>(said.instead->owner)->close();
+        if (!said.welcome() && !rules_->observe) return client->turn_away(said.back);
+    }
     open_.insert(client);
-    make_room(start_.limits.kept, start_.limits.looked_at);
+    if (!door_) make_room(start_.limits.kept, start_.limits.looked_at);
     asio::co_spawn(io_, client->serve(), detached);
 }
 
@@ -212,17 +367,20 @@
     boost::system::error_code failed;
     acceptor_.non_blocking(true, failed);
     while (acceptor_.is_open()) {
-        if (open_.size() >= limits.clients) make_room(limits.clients - limits.accepts, 2 * limits.accepts);
-        if (open_.size() >= limits.clients) {
+        if (!door_ && open_.size() >= limits.clients)
+            make_room(limits.clients - limits.accepts, 2 * limits.accepts);
+        // The door has to see who asks: it closes one for each that it lets in beyond its room.
+        const std::size_t most = limits.clients + (door_ ? limits.at_door : 0);
+        if (open_.size() >= most) {
             note_full();
-            room_.expires_after(limits.rested);
+            room_.expires_after(limits.accept_pause);
             co_await room_.async_wait(as_tuple(use_awaitable));
             continue;
         }
         std::tie(failed) = co_await acceptor_.async_wait(acceptor_.wait_read, as_tuple(use_awaitable));
         if (failed == asio::error::operation_aborted) break;
         bool none = false;
-        for (std::size_t i = 0; i < limits.accepts && open_.size() < limits.clients && !none; ++i)
+        for (std::size_t i = 0; i < limits.accepts && open_.size() < most && !none; ++i)
             none = !take_one(failed);
         if (failed && failed != asio::error::would_block && failed != asio::error::connection_aborted) {
             log_(Level::warning, "accept: ", failed.message(), ", clients ", open_.size());
@@ -236,10 +394,13 @@
 }
 
 bool Clients::take_one(boost::system::error_code &failed) {
-    const int taken = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    asio::ip::tcp::endpoint from;
+    auto size = static_cast<socklen_t>(from.capacity());
+    const int taken = ::accept4(acceptor_.native_handle(), from.data(), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     failed = taken < 0 ? boost::system::error_code(errno, boost::system::system_category())
                        : boost::system::error_code();
     if (taken < 0) return false;
+    from.resize(size);
     const Heard known = heard(taken);
     if (known.closed) {
         ::close(taken);
@@ -251,7 +412,7 @@
     if (failed)
         ::close(taken);
     else
-        begin(std::move(socket));
+        begin(std::move(socket), from.address());
     return true;
 }
 
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -1,6 +1,7 @@
 // The driver of clients' connections: accepts, reads, writes. What a command asks goes to the core.
 #pragma once
 
+#include "admission/door.hpp"
 #include "router/clients/request.hpp"
 #include "router/clients/session.hpp"
 
@@ -44,6 +45,10 @@
     void leave(std::function<void()> done);
     std::size_t open() const { return open_.size(); }
 
+    // Other rules from now on; those without any keep the door open as it is. Owned together with the caller.
+    void rules(std::shared_ptr<const Entrance> rules);
+    const admission::Door *door() const { return door_ ? &*door_ : nullptr; }
+
   private:
     friend class Client;
     asio::awaitable<void> accept();
@@ -55,13 +60,22 @@
     void note_full();
     void rest(Client &client);
     void busy(Client &client);
-    void begin(asio::ip::tcp::socket socket);
+    void begin(asio::ip::tcp::socket socket, const asio::ip::address &from);
+    bool is_front(const asio::ip::address &from) const;
+    void shed();
+    bool crammed() const {
+        return held_bytes_ > start_.limits.memory / 4;
+    } // what buffers of clients may hold
+    static Ticks now();
 
     asio::io_context &io_;
     const Start &start_;
     const Log &log_;
     Desk &desk_;
     asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<const Entrance> rules_; // none: whoever finds room comes in
+    std::optional<admission::Door> door_; // looks at the rules
+    std::size_t held_bytes_ = 0; // of all clients
     std::unordered_set<std::shared_ptr<Client>> open_;
     std::list<Client *> idle_; // of them, the one idle longest first
     std::chrono::steady_clock::time_point last_rpc_{}; // when it came
--- a/src/router/clients/session.hpp
+++ b/src/router/clients/session.hpp
@@ -37,6 +37,7 @@
     bool idle() const { return places_.empty() && writing_ == 0 && unread_.size() == used_; }
     bool owes() const { return !places_.empty(); }
     bool reads() const { return places_.size() < limits_.pipelined && unsent_ < limits_.unsent; }
+    std::size_t bytes() const { return unread_.capacity() + unsent_; }
     bool half_read() const { return unread_.size() > used_; }
 
   private:
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -1,5 +1,7 @@
 #include "router/driver.hpp"
 
+#include "chance.hpp"
+
 #include <algorithm>
 
 namespace pineridge::router {
@@ -7,6 +9,9 @@
 namespace {
 
 using Tick = std::chrono::duration<Ticks, std::ratio<1, 10000>>;
+std::string busy(Ticks back) {
+    return back > 0 ? "-BUSY " + std::to_string((back + 9) / 10) + "\r\n" : "-BUSY\r\n";
+}
 constexpr const char *kVerdicts[] = {"none", "on", "hold", "back"};
 
 } // namespace
@@ -20,6 +25,7 @@
       stream_(io, start, log, [this](const rollout::Told &told) { take_told(told); }),
       votes_(io, start, log, [this](const News &news) { take_news(news); }), wake_(io),
       unix_began_(std::chrono::system_clock::now()), began_(std::chrono::steady_clock::now()) {
+    admit_by(start.entrance);
     if (start.release)
         office_.emplace(
             io, *start.release, start.names.tenants, start.limits, log, start.name, start.seed,
@@ -81,6 +87,16 @@
     clients_.leave(one);
 }
 
+void Driver::admit_by(std::shared_ptr<const Entrance> rules) {
+    clients_.rules(rules);
+    entrance_ = std::move(rules);
+    for (auto &[id, rpc] : rpcs_) rpc.counted = false;
+    counter_.reset();
+    if (entrance_)
+        counter_.emplace(*entrance_, start_.names.tenants, start_.names.methods, start_.terms.instances,
+                         start_.seed);
+}
+
 void Driver::move(const Address &discovery, const Address &platform) {
     watch_.move_to(discovery);
     stream_.move_to(platform);
@@ -118,10 +134,13 @@
     case Act::abort: {
         const auto at = rpcs_.find(made.rpc);
         if (at == rpcs_.end()) return;
-        std::string bytes = "-ERR aborted\r\n";
-        if (made.act == Act::push_back)
-            bytes = made.span > 0 ? "-BUSY " + std::to_string((made.span + 9) / 10) + "\r\n" : "-BUSY\r\n";
-        answer(at->second, std::move(bytes));
+        if (made.act == Act::abort) {
+            answer(at->second, "-ERR aborted\r\n");
+        } else {
+            const bool spreads = counter_ && !entrance_->observe;
+            answer(at->second,
+                   busy(spreads ? counter_->pushed_back(at->second.wanted, made.span, time()) : made.span));
+        }
         return forget_if_over(made.rpc);
     }
     case Act::vote:
@@ -154,6 +173,7 @@
     const std::string id(asked.id);
     const auto [at, fresh] = rpcs_.try_emplace(id, Rpc{reply, held});
     if (!fresh) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
+    if (counter_ && !let_on(at->second, id, age)) return;
     Router &to = module();
     const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead + age).count();
     const int cell = office_ ? office_->cell_of(asked.tenant) : -1;
@@ -163,16 +183,38 @@
                 now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry, cell});
 }
 
+// What is pushed back here has not been picked for, so that trying again is harmless. The module never hears
+// of it: it judges what it is asked.
+bool Driver::let_on(Rpc &rpc, const std::string &id, Span age) {
+    const clients::Asked &asked = rpc.held->asked;
+    const Ticks now = time();
+    rpc.wanted = {asked.tenant, asked.method,
+                  mix(std::string(asked.key), static_cast<std::uint64_t>(asked.method)), asked.retry};
+    counter_->lay(std::chrono::duration_cast<Tick>(age).count(), now);
+    const admission::Told told = counter_->arrived(rpc.wanted, now);
+    rpc.counted = told.by == admission::Held::none;
+    if (rpc.counted || entrance_->observe) return true;
+    answer(rpc, busy(told.back));
+    forget_if_over(id);
+    return false;
+}
+
+void Driver::over(Rpc &rpc, bool served) {
+    if (std::exchange(rpc.counted, false)) counter_->over(served, time());
+}
+
 void Driver::left(const std::string &id) {
     const auto at = rpcs_.find(id);
     if (at == rpcs_.end() || at->second.finished) return;
     at->second.finished = true;
+    over(at->second, false);
     module().finished(id, -1);
     forget_if_over(id);
 }
 
 void Driver::answer(Rpc &rpc, std::string bytes) {
     if (std::exchange(rpc.finished, true)) return;
+    over(rpc, bytes[0] == '*' || bytes[0] == '$');
     clients::Clients::answer(rpc.reply, std::move(bytes));
     rpc.reply.client.reset();
 }
@@ -270,6 +312,27 @@
     to.news(news);
 }
 
+// What admission held back since the last line, where it did.
+void Driver::say_held() {
+    if (!counter_) return;
+    std::uint64_t refused = 0;
+    for (const admission::Why why :
+         {admission::Why::crowd_full, admission::Why::address_full, admission::Why::network_full,
+          admission::Why::opens_too_fast, admission::Why::no_room})
+        refused += clients_.door()->refused(why);
+    std::uint64_t held = 0;
+    for (const admission::Held by : {admission::Held::quota, admission::Held::retries, admission::Held::late})
+        held += counter_->held(by);
+    if (refused == said_refused_ && held == said_held_) return;
+    log_(Level::info, "door: ", entrance_->observe ? "would have refused" : "refused", " connections ",
+         refused - said_refused_, ", made way ", clients_.door()->made_way(), ", pushed back by quota ",
+         counter_->held(admission::Held::quota), ", as retries ", counter_->held(admission::Held::retries),
+         ", late ", counter_->held(admission::Held::late), ", under way ", counter_->under_way(),
+         ", clients ", clients_.door()->open(), ", addresses ", clients_.door()->sources());
+    said_refused_ = refused;
+    said_held_ = held;
+}
+
 asio::awaitable<void> Driver::sweep() {
     boost::asio::steady_timer timer(io_);
     for (;;) {
@@ -278,6 +341,7 @@
         hosts_.sweep();
         log_(Level::debug, "clients ", clients_.open(), ", connections to hosts ", hosts_.open(), ", RPCs ",
              rpcs_.size());
+        say_held();
     }
 }
 
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -1,6 +1,7 @@
 // Owns the module: what peers tell becomes calls on it, and its decisions become messages. One thread.
 #pragma once
 
+#include "admission/counter.hpp"
 #include "membership/registration.hpp"
 #include "membership/source.hpp"
 #include "release/office.hpp"
@@ -22,6 +23,7 @@
 
     void begin(); // ready for clients soon after
     void leave(std::function<void()> done); // ends service in order
+    void admit_by(std::shared_ptr<const Entrance> rules); // from now on; none: whoever finds room
     void move(const Address &discovery, const Address &platform); // where these are to be had from now on
 
   private:
@@ -31,6 +33,8 @@
         bool finished = false; // answered, or its client has left
         std::size_t under_way = 0;
         int cell = -1;
+        admission::Wanted wanted{}; // as the counter was asked
+        bool counted = false; // it is under way there
         std::vector<std::shared_ptr<hosts::Call>> picks{};
     };
 
@@ -47,6 +51,8 @@
     void ended(const std::string &id, int pick, int build, Ticks sent, const hosts::Ending &ending);
     Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
     void answer(Rpc &rpc, std::string bytes);
+    bool let_on(Rpc &rpc, const std::string &id, Span age); // else it is answered
+    void over(Rpc &rpc, bool served);
     void forget_if_over(const std::string &id);
     void take_list(const membership::Listing &listing);
     void begin_registry();
@@ -56,6 +62,7 @@
     asio::awaitable<void> serve();
     asio::awaitable<void> listen();
     asio::awaitable<void> sweep();
+    void say_held();
 
     boost::asio::io_context &io_;
     const Start &start_;
@@ -66,6 +73,8 @@
     std::optional<release::Office> office_; // where releases go by cell
     std::unordered_map<std::string, Rpc> rpcs_;
     hosts::Hosts hosts_;
+    std::optional<admission::Counter> counter_; // where our settings tell of admission
+    std::shared_ptr<const Entrance> entrance_;
     clients::Clients clients_;
     list::Watch watch_;
     rollout::Stream stream_;
@@ -77,6 +86,7 @@
     std::chrono::steady_clock::time_point began_;
     News known_{};
     Ticks known_at_ = 0;
+    std::uint64_t said_refused_ = 0, said_held_ = 0;
 };
 
 } // namespace pineridge::router
--- a/src/router/service.cpp
+++ b/src/router/service.cpp
@@ -7,7 +7,7 @@
 Service::Service(boost::asio::io_context &io, std::string path, Environment environment, const Start &start,
                  const Log &log, std::function<void()> left)
     : path_(std::move(path)), environment_(std::move(environment)), log_(log), left_(std::move(left)),
-      signals_(io, SIGTERM, SIGINT, SIGHUP), driver_(io, start, log) {
+      signals_(io, SIGTERM, SIGINT, SIGHUP), driver_(io, start, log), start_(start), io_(io) {
     std::signal(SIGPIPE, SIG_IGN);
     heed_signals();
     driver_.begin();
@@ -33,6 +33,36 @@
     } catch (const std::exception &bad) {
         log_(Level::error, "configuration kept: ", bad.what());
     }
+    reread_wishes();
+}
+
+// Of our own settings admission alone is taken anew. Read on a thread of its own: a hundred thousand networks
+// take long, and clients wait meanwhile. What they are swapped for is handed over whole, on the loop, so that
+// whoever looks an address up takes no lock.
+void Service::reread_wishes() {
+    if (!start_.wishes_again || reader_.joinable()) return;
+    reader_ = std::jthread([this] {
+        std::shared_ptr<const Entrance> entrance;
+        std::string fault;
+        try {
+            const Wishes wishes = start_.wishes_again();
+            if (wishes.entrance) {
+                check_fits(start_, *wishes.entrance);
+                entrance = std::make_shared<const Entrance>(*wishes.entrance);
+            }
+        } catch (const std::exception &bad) {
+            fault = bad.what();
+        }
+        boost::asio::post(io_, [this, entrance, fault] { take_entrance(entrance, fault); });
+    });
+}
+
+void Service::take_entrance(std::shared_ptr<const Entrance> entrance, const std::string &fault) {
+    reader_.join();
+    if (!fault.empty()) return log_(Level::error, "settings kept: ", fault);
+    log_(Level::info, "settings read again, crowds ", entrance ? entrance->crowds.size() : 0, ", networks ",
+         entrance ? entrance->networks.size() : 0);
+    driver_.admit_by(std::move(entrance));
 }
 
 } // namespace pineridge::router
--- a/src/router/service.hpp
+++ b/src/router/service.hpp
@@ -3,6 +3,8 @@
 
 #include "router/driver.hpp"
 
+#include <thread>
+
 namespace pineridge::router {
 
 class Service {
@@ -14,6 +16,8 @@
   private:
     void heed_signals();
     void reread();
+    void reread_wishes();
+    void take_entrance(std::shared_ptr<const Entrance> entrance, const std::string &fault);
 
     std::string path_;
     Environment environment_;
@@ -21,6 +25,9 @@
     std::function<void()> left_;
     boost::asio::signal_set signals_;
     Driver driver_;
+    const Start &start_;
+    boost::asio::io_context &io_;
+    std::jthread reader_; // of settings, while they are read again
 };
 
 } // namespace pineridge::router
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -1,5 +1,7 @@
 #include "router/start.hpp"
 
+#include "admission/counter.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -101,12 +103,26 @@
             wrong("release.customers", ("not among the configuration's tenants: " + customer.name).c_str());
 }
 
+void check_fits(const Start &start, const Entrance &entrance) {
+    admission::Counter(entrance, start.names.tenants, start.names.methods, start.terms.instances, 0);
+    std::size_t reserved = 0;
+    for (const Crowd &crowd : entrance.crowds) reserved += static_cast<std::size_t>(crowd.reserve);
+    if (reserved > start.limits.clients)
+        wrong("admission.crowd.reserve", ("together " + std::to_string(reserved) + ", and clients have " +
+                                          std::to_string(start.limits.clients) + " connections")
+                                             .c_str());
+}
+
 void take_wishes(Start &start, const Wishes &wishes) {
     start.registry = wishes.registry;
     if (start.registry)
         start.registry_access =
             std::make_shared<membership::Access>(membership::make_access(*start.registry));
     start.release = wishes.release;
+    if (wishes.entrance) {
+        start.entrance = std::make_shared<const Entrance>(*wishes.entrance);
+        check_fits(start, *start.entrance);
+    }
     if (!start.release) return;
     check_fits(start, *start.release);
     start.terms.cell_share = 0; // a trial of which the plan has told nothing is in its first stage
--- a/src/router/start.hpp
+++ b/src/router/start.hpp
@@ -30,6 +30,9 @@
     json known; // the list as last had, in discovery's form
     std::optional<Registry> registry{}; // holds the list of hosts in discovery's place
     std::shared_ptr<membership::Access> registry_access{}; // where it is, and by what right
+    std::shared_ptr<const Entrance> entrance{}; // who may come in; none: whoever finds room
+    std::function<Wishes()>
+        wishes_again{}; // our own settings, read anew; throws as the first reading did. Any thread.
     std::optional<Scheme> release{}; // staged releases by cell; none: one cell for all, as the platform tells
 };
 
@@ -42,6 +45,7 @@
 // Puts our own settings beside what the platform tells; throws BadInput where they do not fit.
 void take_wishes(Start &start, const Wishes &wishes);
 void check_fits(const Start &start, const Scheme &scheme);
+void check_fits(const Start &start, const Entrance &entrance);
 
 // Where a name stands among those told; throws BadInput for the field.
 int place_of(const std::vector<std::string> &names, const std::string &name, const char *field);
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <set>
 #include <sstream>
@@ -250,6 +251,87 @@
     return registry;
 }
 
+Network read_told_network(const Node &node, const char *key) {
+    try {
+        return read_network(node.text(key));
+    } catch (const BadInput &bad) {
+        node.wrong(key, bad.what());
+    }
+}
+
+Crowd read_crowd(const Node &node) {
+    Crowd crowd{node.text("name")};
+    node.take("weight", crowd.weight);
+    node.take_count("reserve", crowd.reserve);
+    node.take_count("most", crowd.most);
+    node.take_count("per-address", crowd.per_address);
+    node.take_count("per-network", crowd.per_network);
+    node.take("opens-per-s", crowd.opens);
+    node.take("burst", crowd.burst);
+    if (crowd.most > 0 && crowd.most < crowd.reserve) node.wrong("most", "below reserve");
+    return crowd;
+}
+
+void read_crowds(const Node &node, Entrance &entrance) {
+    std::vector<Networks::Entry> networks;
+    std::map<Network, std::string> told; // and the crowd that it is of
+    std::set<std::string> names;
+    for (const Node &child : node.all("others")) {
+        entrance.crowds[0] = read_crowd(child);
+        entrance.crowds[0].name = "others";
+    }
+    for (const Node &child : node.all("crowd")) {
+        if (child.text("name") == "others" || !names.insert(child.text("name")).second)
+            child.wrong("name", "twice: " + child.text("name"));
+        for (const Node &network : child.all("network")) {
+            const Network read = read_told_network(network, "address");
+            const auto [at, fresh] = told.emplace(read, child.text("name"));
+            if (!fresh) network.wrong("address", read.text() + ": told before, in " + at->second);
+            networks.push_back({read, static_cast<int>(entrance.crowds.size())});
+        }
+        entrance.crowds.push_back(read_crowd(child));
+    }
+    entrance.networks = Networks(std::move(networks));
+}
+
+Entrance read_entrance(const Node &node) {
+    Entrance entrance;
+    entrance.observe = node.text("mode") == "observe";
+    node.take_count("prefix-v4", entrance.prefix4);
+    node.take_count("prefix-v6", entrance.prefix6);
+    node.take_count("addresses", entrance.addresses);
+    node.take_span("trust-half-s", entrance.trust_half);
+    read_crowds(node, entrance);
+    for (const Node &front : node.all("front"))
+        entrance.fronts.push_back(read_told_network(front, "address"));
+    for (const Node &slow : node.all("slow")) {
+        slow.take_span("first-byte-s", entrance.first_byte);
+        slow.take_span("command-s", entrance.whole_command);
+        slow.take_span("unread-s", entrance.unread);
+    }
+    for (const Node &quotas : node.all("quotas")) {
+        quotas.take_count("routers", entrance.routers);
+        for (const Node &quota : quotas.all("quota")) {
+            Quota read{quota.text("customer"), quota.text("method"), quota.number("per-s")};
+            read.burst = read.rate;
+            quota.take("burst", read.burst);
+            if (read.customer.empty() && read.method.empty())
+                quota.wrong("customer", "neither it nor method is told");
+            entrance.quotas.push_back(read);
+        }
+    }
+    for (const Node &retries : node.all("retries")) {
+        retries.take("share", entrance.retry_share);
+        retries.take("least-per-s", entrance.retry_least);
+        retries.take_span("window-s", entrance.retry_window);
+    }
+    for (const Node &lateness : node.all("lateness")) {
+        lateness.take_span("aim-s", entrance.late_aim);
+        lateness.take_count("least", entrance.least_under_way);
+    }
+    return entrance;
+}
+
 } // namespace
 
 Wishes read_wishes(const std::string &text, const std::string &file) {
@@ -260,7 +342,7 @@
     const Reader reader(xmlNewParserCtxt());
     xmlSetStructuredErrorFunc(&complaint, complain);
     const Document document(xmlCtxtReadMemory(reader.get(), text.data(), static_cast<int>(text.size()),
-                                              file.c_str(), nullptr, XML_PARSE_NONET));
+                                              file.c_str(), nullptr, XML_PARSE_NONET | XML_PARSE_BIG_LINES));
     const SchemaParser parser(
         xmlSchemaNewMemParserCtxt(kSchema, static_cast<int>(std::char_traits<char>::length(kSchema))));
     const Schema schema(document ? xmlSchemaParse(parser.get()) : nullptr);
@@ -276,6 +358,7 @@
     const Node root(xmlDocGetRootElement(document.get()), file);
     for (const Node &release : root.all("release")) wishes.release = read_scheme(release);
     for (const Node &registry : root.all("registry")) wishes.registry = read_registry(registry);
+    for (const Node &admission : root.all("admission")) wishes.entrance = read_entrance(admission);
     return wishes;
 }
 
--- a/src/settings/read.hpp
+++ b/src/settings/read.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/bad_input.hpp"
+#include "settings/entrance.hpp"
 #include "settings/registry.hpp"
 #include "settings/scheme.hpp"
 
@@ -15,6 +16,7 @@
 struct Wishes {
     std::optional<Scheme> release;
     std::optional<Registry> registry;
+    std::optional<Entrance> entrance;
 };
 
 // Both throw BadInput as "FILE:LINE: KEY: what is wrong". `file` names the text in messages.
