--- /dev/null
+++ b/bench/admission_lookup.cpp
@@ -0,0 +1,85 @@
+// What looking an address up costs with 10, 1,000 and 100,000 networks, what a door costs for each connection
+// of a flood from a million sources, and what it holds then.
+//
+//   build/tests/bench_admission_lookup
+#include "admission/door.hpp"
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <set>
+
+using namespace pineridge;
+using namespace pineridge::admission;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+double ns_since(Clock::time_point began, int count) {
+    return std::chrono::duration<double, std::nano>(Clock::now() - began).count() / count;
+}
+
+long resident_kb() {
+    std::ifstream status("/proc/self/status");
+    for (std::string word; status >> word;)
+        if (word == "VmRSS:") {
+            long size = 0;
+            status >> size;
+            return size;
+        }
+    return 0;
+}
+
+Networks random_networks(int count, std::mt19937_64 &chance) {
+    std::vector<Networks::Entry> entries;
+    std::set<Network> seen;
+    while (static_cast<int>(entries.size()) < count) {
+        const bool four = chance() % 2 == 0;
+        const int bits =
+            four ? 96 + 12 + static_cast<int>(chance() % 17) : 24 + static_cast<int>(chance() % 41);
+        const Number at = four ? Number{0, 0xffff00000000 | (chance() & 0xffffffff)}
+                               : Number{0x2000000000000000 | chance() >> 4, chance()};
+        const Network network{cut(at, bits), bits};
+        if (seen.insert(network).second) entries.push_back({network, static_cast<int>(chance() % 100)});
+    }
+    return Networks(std::move(entries));
+}
+
+} // namespace
+
+int main() {
+    std::mt19937_64 chance(1);
+    for (const int count : {10, 1000, 100000}) {
+        const auto built = Clock::now();
+        const Networks networks = random_networks(count, chance);
+        const double build_ms = ns_since(built, 1) / 1e6;
+        std::vector<Number> asked;
+        for (int i = 0; i < 1 << 16; ++i)
+            asked.push_back(i % 2 ? Number{0, 0xffff00000000 | (chance() & 0xffffffff)}
+                                  : Number{0x2000000000000000 | chance() >> 4, chance()});
+        long sum = 0;
+        constexpr int kRounds = 20;
+        const auto began = Clock::now();
+        for (int round = 0; round < kRounds; ++round)
+            for (const Number &one : asked) sum += networks.group_of(one);
+        std::cout << count << " networks: " << ns_since(began, kRounds * static_cast<int>(asked.size()))
+                  << " ns a look-up, made in " << build_ms << " ms" << (sum == 0 ? " " : "") << "\n";
+    }
+    Entrance rules;
+    rules.crowds[0].per_address = 20;
+    const long before = resident_kb();
+    Door door(rules, 586, 1);
+    std::vector<Guest> guests(586);
+    for (std::size_t i = 0; i < guests.size(); ++i)
+        door.opened(guests[i], {0, 0xffff0a000000 + i}, 0), door.asked(guests[i]);
+    constexpr int kSources = 1000000;
+    Guest passing;
+    const auto began = Clock::now();
+    for (int i = 0; i < kSources; ++i)
+        door.opened(passing, {0, 0xffff20000000 + static_cast<std::uint64_t>(i)}, i);
+    std::cout << "flood from " << kSources << " sources: " << ns_since(began, kSources)
+              << " ns a connection, " << door.sources() << " addresses kept, " << resident_kb() - before
+              << " KiB more, refused " << door.refused(Why::no_room) << "\n";
+}
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -26,6 +26,7 @@
     std::size_t warm = 3; // to one host, before the first clients
     std::size_t looked_at = 4; // idle clients looked at to make room for a new one
     std::size_t at_door = 8; // connections beyond the clients' share that wait for a front's header
+    std::size_t drains = 8; // connections to hosts beyond their share, while a host drains
     int backlog = 256; // connections in the kernel's queue: longer, what comes out of it has been given up on
     std::size_t accepts = 32; // connections taken in one turn
     std::size_t late_looks = 16; // one read in so many is asked how long it has lain, while none has
@@ -71,6 +72,7 @@
     Span rested{100}; // a client's connection idle for less is not closed for room: it is in use, and its
                       // next command may be under way
     Span accept_pause{5}; // after an accept that found no descriptor
+    Span drain_for{2000}; // so long after a host's drain the others may need connections at once
     Span crammed_pause{20}; // until a client that is owed answers is read again where memory is short
     Span late_least{
         8}; // what has lain unread for less is as good as fresh: the kernel's clock has steps of 4
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -138,9 +138,11 @@
         home_.held_bytes_ -= std::exchange(bytes_, 0);
         home_.busy(*this);
         home_.open_.erase(shared_from_this());
+        if (std::exchange(counted, false)) home_.ledger_.give_back(admission::Purpose::clients);
         home_.room_.cancel();
     }
 
+    bool counted = false; // in the ledger
     std::optional<std::list<Client *>::iterator> resting; // its place among the idle ones
 
   private:
@@ -264,8 +266,9 @@
     bool needs_head_, seated_ = false, closing_ = false;
 };
 
-Clients::Clients(asio::io_context &io, const Start &start, const Log &log, Desk &desk)
-    : io_(io), start_(start), log_(log), desk_(desk), acceptor_(io), room_(io) {
+Clients::Clients(asio::io_context &io, const Start &start, const Log &log, admission::Ledger &ledger,
+                 Desk &desk)
+    : io_(io), start_(start), log_(log), ledger_(ledger), desk_(desk), acceptor_(io), room_(io) {
     rules(start.entrance);
 }
 
@@ -333,6 +336,7 @@
                 for (const auto &client : open_)
                     if (client->stuck(now)) stuck.push_back(client);
                 for (const auto &client : stuck) client->close();
+                if (!door_) make_room(start_.limits.kept, open_.size());
                 shed();
             }
         },
@@ -354,6 +358,8 @@
         if (!said.welcome() && !rules_->observe) return client->turn_away(said.back);
     }
     open_.insert(client);
+    client->counted =
+        ledger_.take(admission::Purpose::clients); // not, where all is taken in to be answered at the end
     if (!door_) make_room(start_.limits.kept, start_.limits.looked_at);
     asio::co_spawn(io_, client->serve(), detached);
 }
@@ -370,8 +376,9 @@
         if (!door_ && open_.size() >= limits.clients)
             make_room(limits.clients - limits.accepts, 2 * limits.accepts);
         // The door has to see who asks: it closes one for each that it lets in beyond its room.
-        const std::size_t most = limits.clients + (door_ ? limits.at_door : 0);
-        if (open_.size() >= most) {
+        const std::size_t kept_back = door_ ? 0 : limits.at_door;
+        const auto full = [&] { return ledger_.room(admission::Purpose::clients) <= kept_back; };
+        if (full()) {
             note_full();
             room_.expires_after(limits.accept_pause);
             co_await room_.async_wait(as_tuple(use_awaitable));
@@ -380,8 +387,7 @@
         std::tie(failed) = co_await acceptor_.async_wait(acceptor_.wait_read, as_tuple(use_awaitable));
         if (failed == asio::error::operation_aborted) break;
         bool none = false;
-        for (std::size_t i = 0; i < limits.accepts && open_.size() < most && !none; ++i)
-            none = !take_one(failed);
+        for (std::size_t i = 0; i < limits.accepts && !full() && !none; ++i) none = !take_one(failed);
         if (failed && failed != asio::error::would_block && failed != asio::error::connection_aborted) {
             log_(Level::warning, "accept: ", failed.message(), ", clients ", open_.size());
             desk_.crowded();
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/door.hpp"
+#include "admission/ledger.hpp"
 #include "router/clients/request.hpp"
 #include "router/clients/session.hpp"
 
@@ -36,7 +37,8 @@
 
 class Clients {
   public:
-    Clients(asio::io_context &io, const Start &start, const Log &log, Desk &desk);
+    // Descriptors are taken from the ledger, which outlives this.
+    Clients(asio::io_context &io, const Start &start, const Log &log, admission::Ledger &ledger, Desk &desk);
 
     void listen(); // throws system_error
     static void answer(const Reply &reply, std::string bytes);
@@ -71,6 +73,7 @@
     asio::io_context &io_;
     const Start &start_;
     const Log &log_;
+    admission::Ledger &ledger_;
     Desk &desk_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<const Entrance> rules_; // none: whoever finds room comes in
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -14,11 +14,25 @@
 }
 constexpr const char *kVerdicts[] = {"none", "on", "hold", "back"};
 
+// Clients and hosts have parts of their own; those for the list, the platform and the rest are the reserve
+// that the limits leave out.
+admission::Ledger ledger_of(const Limits &limits) {
+    std::array<admission::Ledger::Part, admission::kPurposes> parts{};
+    const auto part = [&](admission::Purpose purpose) -> auto & {
+        return parts[static_cast<std::size_t>(purpose)];
+    };
+    part(admission::Purpose::clients) = {limits.clients, limits.clients + limits.at_door};
+    part(admission::Purpose::hosts) = {limits.hosts, limits.hosts};
+    part(admission::Purpose::drains) = {limits.drains, limits.drains};
+    return {limits.clients + limits.at_door + limits.hosts + limits.drains, parts};
+}
+
 } // namespace
 
 Driver::Driver(boost::asio::io_context &io, const Start &start, const Log &log)
     : io_(io), start_(start), log_(log), module_(make_router(start.terms, start.seed)),
-      hosts_(io, start, log), clients_(io, start, log, *this),
+      ledger_(ledger_of(start.limits)), hosts_(io, start, log, ledger_),
+      clients_(io, start, log, ledger_, *this),
       watch_(
           io, start, log, [this](const membership::Listing &listing) { take_list(listing); },
           [this] { module().list_failed(); }),
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/counter.hpp"
+#include "admission/ledger.hpp"
 #include "membership/registration.hpp"
 #include "membership/source.hpp"
 #include "release/office.hpp"
@@ -72,6 +73,7 @@
     std::optional<membership::Registration> own_key_; // in the registry
     std::optional<release::Office> office_; // where releases go by cell
     std::unordered_map<std::string, Rpc> rpcs_;
+    admission::Ledger ledger_; // of all descriptors
     hosts::Hosts hosts_;
     std::optional<admission::Counter> counter_; // where our settings tell of admission
     std::shared_ptr<const Entrance> entrance_;
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -146,8 +146,8 @@
     bool noted_ = false, cut_ = false, sent_ = false, refused_ = false;
 };
 
-Hosts::Hosts(asio::io_context &io, const Start &start, const Log &log)
-    : io_(io), start_(start), log_(log), trust_(start.limits) {}
+Hosts::Hosts(asio::io_context &io, const Start &start, const Log &log, admission::Ledger &ledger)
+    : io_(io), start_(start), log_(log), ledger_(ledger), trust_(start.limits) {}
 
 void Hosts::put(const std::string &id, const Address &address, bool ready, Ticks started, int build) {
     Place &place = places_[id];
@@ -157,6 +157,7 @@
         place.dialing = 0;
         wake_waiting(place);
     }
+    if (place.ready && !ready) drain_until_ = Clock::now() + start_.limits.drain_for;
     place.address = address;
     place.started = started;
     place.build = build;
@@ -174,6 +175,7 @@
 void Hosts::remove(const std::string &id) {
     const auto at = places_.find(id);
     if (at == places_.end()) return;
+    if (at->second.ready) drain_until_ = Clock::now() + start_.limits.drain_for;
     drop_idle(at->second, 0);
     wake_waiting(at->second);
     places_.erase(at);
@@ -186,8 +188,8 @@
     const std::size_t wanted =
         std::min(start_.limits.warm, start_.limits.hosts / 2 / std::max<std::size_t>(1, places_.size()));
     for (auto &[id, place] : places_)
-        for (std::size_t i = 0; place.ready && i < wanted; ++i) {
-            ++place.dialing, ++open_;
+        for (std::size_t i = 0; place.ready && i < wanted && take_descriptor(); ++i) {
+            ++place.dialing;
             asio::co_spawn(io_, dial(id, place.process, place.address), asio::detached);
         }
     const auto dialing = [this] {
@@ -230,13 +232,26 @@
 void Hosts::dial_more(const std::string &id, Place &place) {
     const Limits &limits = start_.limits;
     while (place.dialing < std::min(place.waiting.size(), limits.dials)) {
-        if (open_ >= limits.hosts) free_idle(idle_ / 2);
-        if (open_ >= limits.hosts) return;
-        ++place.dialing, ++open_;
+        if (!take_descriptor()) return;
+        ++place.dialing;
         asio::co_spawn(io_, dial(id, place.process, place.address), asio::detached);
     }
 }
 
+// While a host drains, its picks need connections to others at once: some are kept for that. Stops a drain in
+// a full house from ending in RPCs that reach nobody.
+bool Hosts::take_descriptor() {
+    using admission::Purpose;
+    bool taken = ledger_.take(Purpose::hosts);
+    if (!taken) {
+        free_idle(idle_ / 2);
+        taken =
+            ledger_.take(Purpose::hosts) || (Clock::now() < drain_until_ && ledger_.take(Purpose::drains));
+    }
+    open_ += taken;
+    return taken;
+}
+
 asio::awaitable<void> Hosts::dial(std::string id, std::uint64_t process, Address address) {
     auto socket = std::make_unique<Socket>(io_);
     Fuse fuse(io_.get_executor());
@@ -288,6 +303,8 @@
     socket->close(ignored);
     socket.reset();
     --open_;
+    using admission::Purpose; // what drains took comes back first
+    ledger_.give_back(ledger_.taken(Purpose::drains) > 0 ? Purpose::drains : Purpose::hosts);
 }
 
 void Hosts::drop_idle(Place &place, std::size_t keep) {
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -1,6 +1,7 @@
 // The driver of connections to hosts: one pick at a time on each, the most recently used first.
 #pragma once
 
+#include "admission/ledger.hpp"
 #include "router/clients/request.hpp"
 #include "router/hosts/exchange.hpp"
 #include "router/hosts/trust.hpp"
@@ -22,7 +23,8 @@
 
 class Hosts {
   public:
-    Hosts(asio::io_context &io, const Start &start, const Log &log);
+    // Descriptors are taken from the ledger, which outlives this.
+    Hosts(asio::io_context &io, const Start &start, const Log &log, admission::Ledger &ledger);
 
     // What the list says of a host; `started` and `build` tell one process at an address from the next.
     void put(const std::string &id, const Address &address, bool ready, Ticks started, int build);
@@ -62,16 +64,19 @@
     std::shared_ptr<Call> first_waiting(Place &place);
     void hand_on(Place &place, std::unique_ptr<asio::ip::tcp::socket> socket);
     void wake_waiting(Place &place);
+    bool take_descriptor();
     void close(std::unique_ptr<asio::ip::tcp::socket> &socket);
     void drop_idle(Place &place, std::size_t keep);
 
     asio::io_context &io_;
     const Start &start_;
     const Log &log_;
+    admission::Ledger &ledger_;
     std::unordered_map<std::string, Place> places_;
     Trust trust_;
     std::size_t open_ = 0, idle_ = 0;
     std::uint64_t processes_ = 0;
+    Clock::time_point drain_until_{};
 };
 
 } // namespace pineridge::router::hosts
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kReserve = 48; // list, platform, logs, timers, listener, accepts under way
+constexpr std::size_t kReserve = 48; // list, platform, logs, timers, listener, a front's headers, drains
 constexpr std::size_t kLeastDescriptors = 128;
 
 // Where no environment variable stands in for a key, it must be in the file.
