--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -22,12 +22,13 @@
     std::size_t kept; // connections of clients up to which idle ones are kept
     std::size_t hosts;
 
-    std::size_t dials = 1; // to one host at once: what comes free serves the rest
-    std::size_t warm = 3; // to one host, before the first clients
+    std::size_t dials = 1; // to one host at once: what comes free serves the rest;
+    std::size_t dial_more = 8, most_dials = 4; // one more for so many picks that wait for it, up to so many
+    std::size_t warm = 12; // to one host, before the first clients
     std::size_t looked_at = 4; // idle clients looked at to make room for a new one
     std::size_t at_door = 8; // connections beyond the clients' share that wait for a front's header
     std::size_t drains = 8; // connections to hosts beyond their share, while a host drains
-    int backlog = 256; // connections in the kernel's queue: longer, what comes out of it has been given up on
+    int backlog = 1024; // connections in the kernel's queue: longer, what comes out of it has been given up on
     std::size_t accepts = 32; // connections taken in one turn
     std::size_t late_looks = 16; // one read in so many is asked how long it has lain, while none has
 
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -231,7 +231,9 @@
 // Dials for picks that wait, a few at a time: a connection that comes free serves them as well.
 void Hosts::dial_more(const std::string &id, Place &place) {
     const Limits &limits = start_.limits;
-    while (place.dialing < std::min(place.waiting.size(), limits.dials)) {
+    const std::size_t waiting = place.waiting.size();
+    const std::size_t most = std::min({waiting, limits.dials + waiting / limits.dial_more, limits.most_dials});
+    while (place.dialing < most) {
         if (!take_descriptor()) return;
         ++place.dialing;
         asio::co_spawn(io_, dial(id, place.process, place.address), asio::detached);
