--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -28,7 +28,6 @@
     std::size_t looked_at = 4; // idle clients looked at to make room for a new one
     std::size_t at_door = 8; // connections beyond the clients' share that wait for a front's header
     std::size_t drains = 8; // connections to hosts beyond their share, while a host drains
-    int backlog = 1024; // connections in the kernel's queue: longer, what comes out of it has been given up on
     std::size_t accepts = 32; // connections taken in one turn
     std::size_t late_looks = 16; // one read in so many is asked how long it has lain, while none has
 
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -322,7 +322,7 @@
     using Deferred = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_DEFER_ACCEPT>;
     acceptor_.set_option(Deferred(static_cast<int>(start_.limits.half_command.count() / 1000)));
     acceptor_.bind(start_.listen);
-    acceptor_.listen(start_.limits.backlog);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
     asio::co_spawn(io_, accept(), detached);
     asio::co_spawn(
         io_,
