--- a/fuzz/make_corpus.py
+++ b/fuzz/make_corpus.py
@@ -45,3 +45,12 @@
 put("known_list", "foreign", b"not ours\n")
 put("known_list", "torn", b"pineridge-list 1 7 1000 1 7\n/hosts/\n8 4\n/hosts/a{}{}\nxxh64 0000000000000000\n")
 put("known_list", "sized", b"pineridge-list 1 7 1000 99999 7\n/hosts/\n99999999 4\n")
+sig = b"\r\n\r\n\0\r\nQUIT\n"
+for name, data in {
+    "one": b"PROXY TCP4 1.2.3.4 5.6.7.8 65535 0\r\n*1\r\n", "six": b"PROXY TCP6 2001:db8::9 ::1 1 80\r\n",
+    "unknown": b"PROXY UNKNOWN\r\n", "two": sig + b"\x21\x11\0\x0c" + bytes(range(1, 13)) + b"*4\r\n",
+    "two_six": sig + b"\x21\x21\0\x24" + bytes(36), "local": sig + b"\x20\0\0\0",
+    "long": sig + b"\x21\x11\x0b\xb8" + b"x" * 50, "cut": sig[:9], "plain": b"*4\r\n$5\r\nQ.ASK\r\n",
+    "port": b"PROXY TCP4 1.2.3.4 5.6.7.8 70000 0\r\n", "endless": b"PROXY " + b"a" * 120,
+    "words": b"PROXY TCP4  1.2.3.4 5.6.7.8 1 2\r\n", "only": b"PROXY \r\n"}.items():
+    put("proxy", name, data)
