A full house says it is ready, tells times to come back as allowed, sheds memory

Need: a stranger's PING was pushed back; -BUSY carried a time where the platform allows none; answers were not weighed. Tests: half commands of 128 KiB from 100 connections are shed by size and nobody that is owed an answer goes.

--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -68,7 +68,8 @@
             age_ = home_.late(socket_.native_handle(), since_);
             take_commands();
             write();
-            weigh(room.size());
+            room_ = room.size();
+            weigh();
         }
         // The client has left, or is answered for its bad bytes; what it still waits for ends here.
         if (!broken_ || closed_ || closing_) leave();
@@ -81,6 +82,7 @@
         if (std::erase_if(waiting_, [&](const auto &at) { return at.first == place; }) > 0 && seated_)
             answered_.push_back(served);
         write();
+        weigh();
     }
 
     bool idle() {
@@ -102,7 +104,7 @@
         if (!failed) {
             session_.feed({room.data(), size});
             if (session_.next() == Session::Next::command) {
-                const std::string answer = "-BUSY " + std::to_string((back + 9) / 10) + "\r\n";
+                const std::string answer = home_.refusal(session_.words(), back);
                 socket_.write_some(asio::buffer(answer), failed);
             }
         }
@@ -168,8 +170,10 @@
         return true;
     }
 
-    void weigh(std::size_t room) {
-        const std::size_t now = session_.bytes() + head_.capacity() + room;
+    // After whatever it holds more or less of.
+    void weigh() {
+        if (closed_) return;
+        const std::size_t now = session_.bytes() + head_.capacity() + room_;
         home_.held_bytes_ += now - bytes_;
         bytes_ = now;
         if (!session_.half_read())
@@ -194,7 +198,7 @@
         const std::uint64_t place = session_.expect();
         if (refused_for_ > 0) {
             broken_ = true;
-            return session_.answer(place, "-BUSY " + std::to_string((refused_for_ + 9) / 10) + "\r\n");
+            return session_.answer(place, home_.refusal(words, refused_for_));
         }
         if (words[0] == "PING") return session_.answer(place, "+PONG\r\n");
         if (words[0] != "Q.ASK" && words[0] != "Q.DO")
@@ -234,6 +238,7 @@
                               if (!self->broken_) self->take_commands();
                               self->resume_.cancel();
                               self->write();
+                              self->weigh();
                           });
     }
 
@@ -260,7 +265,7 @@
     admission::Guest guest_;
     std::vector<bool> answered_; // RPCs whose answers are not all written: were they served?
     std::string head_; // of a front, as far as it has come
-    std::size_t bytes_ = 0; // what it holds, as counted among all
+    std::size_t bytes_ = 0, room_ = 0; // what it holds, as counted among all; of it to read into
     Ticks refused_for_ = 0; // above 0: its first command is answered so, and it is closed
     bool writing_ = false, closed_ = false, broken_ = false, used_ = false;
     bool needs_head_, seated_ = false, closing_ = false;
@@ -298,6 +303,14 @@
                        [&](const Network &front) { return front.holds(number); });
 }
 
+// What a connection that may not stay is answered. Asked whether this router is ready it says so: to be full
+// is not to be down. A time to come back is told where the platform allows it, and no longer.
+std::string Clients::refusal(const std::vector<std::string_view> &words, Ticks back) const {
+    if (words[0] == "PING") return "+PONG\r\n";
+    if (!start_.terms.advise_pause) return "-BUSY\r\n";
+    return "-BUSY " + std::to_string((std::min(back, start_.terms.max_pause) + 9) / 10) + "\r\n";
+}
+
 // What goes first where memory is short: buffers of clients that are owed nothing, the largest first. Those
 // that are owed answers are not read from meanwhile (Client::serve).
 void Clients::shed() {
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -64,6 +64,7 @@
     void busy(Client &client);
     void begin(asio::ip::tcp::socket socket, const asio::ip::address &from);
     bool is_front(const asio::ip::address &from) const;
+    std::string refusal(const std::vector<std::string_view> &words, Ticks back) const;
     void shed();
     bool crammed() const {
         return held_bytes_ > start_.limits.memory / 4;
--- a/standins/flood/flood.hpp
+++ b/standins/flood/flood.hpp
@@ -20,6 +20,7 @@
     drips, // one byte of a command after the other
     never_reads, // RPCs without end, whose answers it leaves
     half_closes, // a command, then the end of its sending
+    swells, // all but the end of a command as large as may be
 };
 
 class Flood {
@@ -28,10 +29,10 @@
         Manner manner = Manner::opens;
         std::uint32_t first = 0x7f070001; // of its addresses, 127.7.0.1
         int addresses = 1; // taken in turn
-        int lanes = 1; // that open one connection after the other, without pause
+        int lanes = 1; // that open one connection after the other
         int most = 0; // connections held at once; 0: any number. Beyond, the oldest is let go
         std::string front{}; // goes before all else, for each connection: a PROXY header
-        std::chrono::milliseconds drip{50};
+        std::chrono::milliseconds drip{50}, pause{0}; // of a lane, between connections
     };
     struct Seen {
         std::uint64_t opened = 0, failed = 0; // connections
