Admission read again: one refusal, one look-up of a guest, counts derived, dead words gone

Found by reading the change: the text and the allowance of a pushback stood in two places; a guest's crowd and sources were looked up by two copies; whether a quota covers an RPC was written twice; hosts counted connections that the ledger counts too; the unit of time was defined three times. The counter copied all networks and threw them away, at start, at each check and at each reload, there on the loop: it takes only what it counts by now. Words, purposes and a setter that nobody called are gone. Behaviour is unchanged.

--- a/src/admission/counter.cpp
+++ b/src/admission/counter.cpp
@@ -17,20 +17,9 @@
 
 } // namespace
 
-const char *text_of(Held held) {
-    switch (held) {
-    case Held::none: return "let on";
-    case Held::quota: return "beyond a quota";
-    case Held::retries: return "a retry beyond their budget";
-    case Held::late: return "more under way than is read in time";
-    }
-    return "";
-}
-
-Counter::Counter(const Entrance &rules, const std::vector<std::string> &customers,
+Counter::Counter(const Counting &rules, const std::vector<std::string> &customers,
                  const std::vector<std::string> &methods, int told_routers, std::uint64_t seed)
     : rules_(rules), dice_{seed} {
-    rules_.networks = {};
     // Each router takes its part, so that all parts add up to the quota without a word between them.
     const double routers = std::max(1, rules.routers > 0 ? rules.routers : told_routers);
     for (const Quota &quota : rules.quotas) {
@@ -43,18 +32,13 @@
     retry_budget_.level = rules.retry_least;
 }
 
-Counter::Mark *Counter::find(std::uint64_t work, Ticks now) {
-    if (marks_.empty()) return nullptr;
-    Mark *const set = &marks_[work % kSets * kWays];
-    for (std::size_t i = 0; i < kWays; ++i)
-        if (set[i].work == work && set[i].until > now) return &set[i];
-    return nullptr;
-}
-
 bool Counter::is_retry(const Wanted &wanted, Ticks now) {
-    Mark *const mark = find(wanted.work, now);
-    if (mark) mark->until = 0; // it tells of one retry
-    return wanted.marked || mark;
+    Mark *const set = set_of(wanted.work);
+    Mark *const mark = std::find_if(
+        set, set + kWays, [&](const Mark &one) { return one.work == wanted.work && one.until > now; });
+    const bool pushed_back = mark != set + kWays;
+    if (pushed_back) mark->until = 0; // it tells of one retry
+    return wanted.marked || pushed_back;
 }
 
 Told Counter::arrived(const Wanted &wanted, Ticks now) {
@@ -77,17 +61,13 @@
     if (rules_.late_aim > 0 && static_cast<double>(under_way_) >= bound_) return hold(Held::late, kLeastBack);
     // All lines that cover it have to have a token; none is taken unless all have.
     for (Line &line : lines_) {
-        const bool covers = (line.customer < 0 || line.customer == wanted.customer) &&
-                            (line.method < 0 || line.method == wanted.method);
-        if (!covers) continue;
+        if (!line.covers(wanted)) continue;
         line.bucket.fill(line.rate, line.burst, now);
         if (line.bucket.level < 1)
             return hold(Held::quota, std::max(kLeastBack, line.bucket.until(line.rate)));
     }
     for (Line &line : lines_)
-        if ((line.customer < 0 || line.customer == wanted.customer) &&
-            (line.method < 0 || line.method == wanted.method))
-            --line.bucket.level;
+        if (line.covers(wanted)) --line.bucket.level;
     ++under_way_;
     peak_ = std::max(peak_, under_way_);
     return {};
@@ -112,15 +92,15 @@
     const Ticks back =
         std::min(kMostBack, least + static_cast<Ticks>(static_cast<double>(least) / 4 * dice_.unit()));
     if (!marks_.empty()) {
-        Mark *const set = &marks_[wanted.work % kSets * kWays];
-        Mark *oldest = std::min_element(set, set + kWays,
-                                        [](const Mark &a, const Mark &b) { return a.until < b.until; });
+        Mark *const set = set_of(wanted.work);
+        Mark *const oldest = std::min_element(set, set + kWays,
+                                              [](const Mark &a, const Mark &b) { return a.until < b.until; });
         *oldest = {wanted.work, now + back + rules_.retry_window};
     }
     return std::max(back, told);
 }
 
-void Counter::lay(Ticks unread, Ticks) { worst_ = std::max(worst_, unread); }
+void Counter::lay(Ticks unread) { worst_ = std::max(worst_, unread); }
 
 // Lateness says that more comes in than this router gets done: the bound falls to what was under way, and
 // below, until what is read is fresh again. It rises only where it is what held RPCs back.
--- a/src/admission/counter.hpp
+++ b/src/admission/counter.hpp
@@ -13,7 +13,6 @@
 namespace pineridge::admission {
 
 enum class Held { none, quota, retries, late };
-const char *text_of(Held held);
 
 struct Told {
     Held by = Held::none;
@@ -31,7 +30,7 @@
   public:
     // `told_routers` share a quota, where the rules name none. Throws BadInput naming a customer or a method
     // that is not among the names.
-    Counter(const Entrance &rules, const std::vector<std::string> &customers,
+    Counter(const Counting &rules, const std::vector<std::string> &customers,
             const std::vector<std::string> &methods, int told_routers, std::uint64_t seed);
 
     Told arrived(const Wanted &wanted, Ticks now); // let on, it is under way until `over`
@@ -40,7 +39,7 @@
     // Those that are pushed back together come back one after the other, at the pace at which RPCs are
     // served.
     Ticks pushed_back(const Wanted &wanted, Ticks told, Ticks now);
-    void lay(Ticks unread, Ticks now); // how long a command had lain unread when it was read
+    void lay(Ticks unread); // how long a command had lain unread when it was read
 
     double bound() const { return bound_; } // RPCs under way
     std::size_t under_way() const { return under_way_; }
@@ -52,6 +51,9 @@
         int customer = -1, method = -1; // below 0: all
         double rate = 0, burst = 0; // of this router
         Bucket bucket{};
+        bool covers(const Wanted &wanted) const {
+            return (customer < 0 || customer == wanted.customer) && (method < 0 || method == wanted.method);
+        }
     };
     // Work pushed back of late, a fixed number: in each set the oldest makes way.
     struct Mark {
@@ -60,11 +62,11 @@
     };
     static constexpr std::size_t kSets = 4096, kWays = 4;
 
-    Mark *find(std::uint64_t work, Ticks now);
+    Mark *set_of(std::uint64_t work) { return &marks_[work % kSets * kWays]; }
     bool is_retry(const Wanted &wanted, Ticks now);
     void adapt(Ticks now);
 
-    Entrance rules_; // but for its networks
+    Counting rules_;
     std::vector<Line> lines_;
     std::vector<Mark> marks_;
     Bucket retry_budget_{};
--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -15,18 +15,6 @@
 
 } // namespace
 
-const char *text_of(Why why) {
-    switch (why) {
-    case Why::welcome: return "welcome";
-    case Why::crowd_full: return "its crowd has all the connections it may";
-    case Why::address_full: return "its address has all the connections it may";
-    case Why::network_full: return "its network has all the connections it may";
-    case Why::opens_too_fast: return "its address opens connections too fast";
-    case Why::no_room: return "no room, and nobody to go for it";
-    }
-    return "";
-}
-
 Door::Door(const Entrance &rules, std::size_t room, std::uint64_t seed)
     : rules_(&rules), room_(room),
       sources_(static_cast<std::size_t>(rules.addresses), rules.trust_half, seed),
@@ -39,15 +27,11 @@
 
 Reception Door::opened(Guest &guest, const Number &address, Ticks now) {
     guest.address = address;
-    guest.crowd = std::max(0, rules_->networks.group_of(address));
+    look_up(guest);
     const Crowd &rule = crowd(guest.crowd);
-    Source &source = sources_.at({address, kAddressBits}, rule.burst);
-    guest.source = &source;
-    if (rule.opens > 0 && !source.opens.take(rule.opens, rule.burst, now))
-        return refuse(guest, Why::opens_too_fast, source.opens.until(rule.opens));
-    ++source.open; // so that the next call cannot forget it
-    guest.network = rule.per_network > 0 ? &sources_.at(network_of(address), 0) : nullptr;
-    --source.open;
+    Bucket &opens = guest.source->opens;
+    if (rule.opens > 0 && !opens.take(rule.opens, rule.burst, now))
+        return refuse(guest, Why::opens_too_fast, opens.until(rule.opens));
     if (const Why why = bound(guest); why != Why::welcome) return refuse(guest, why, 0);
     Reception said;
     if (!has_room_for(guest.crowd)) {
@@ -60,6 +44,15 @@
     return said;
 }
 
+void Door::look_up(Guest &guest) {
+    guest.crowd = std::max(0, rules_->networks.group_of(guest.address));
+    const Crowd &rule = crowd(guest.crowd);
+    guest.source = &sources_.at({guest.address, kAddressBits}, rule.burst);
+    ++guest.source->open; // so that the next call cannot forget it
+    guest.network = rule.per_network > 0 ? &sources_.at(network_of(guest.address), 0) : nullptr;
+    --guest.source->open;
+}
+
 void Door::seat(Guest &guest, Ticks now) {
     sources_.opened(*guest.source);
     if (guest.network) sources_.opened(*guest.network);
@@ -196,12 +189,7 @@
     open_ = 0;
     crowds_ = std::vector<Held>(rules.crowds.size());
     for (Guest *const guest : guests_) {
-        guest->crowd = std::max(0, rules.networks.group_of(guest->address));
-        const Crowd &rule = crowd(guest->crowd);
-        guest->source = &sources_.at({guest->address, kAddressBits}, rule.burst);
-        ++guest->source->open; // so that the next call cannot forget it
-        guest->network = rule.per_network > 0 ? &sources_.at(network_of(guest->address), 0) : nullptr;
-        --guest->source->open;
+        look_up(*guest);
         seat(*guest, guest->idle_since);
     }
 }
@@ -209,7 +197,7 @@
 std::string Door::explain(const Number &address, Ticks now) const {
     std::ostringstream lines;
     const auto *entry = rules_->networks.entry_of(address);
-    const int at = std::max(0, rules_->networks.group_of(address));
+    const int at = entry ? entry->group : 0;
     const Crowd &rule = crowd(at);
     lines << "crowd " << rule.name << ": "
           << (entry ? "by network " + entry->network.text() : std::string("in no network")) << "\n";
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -13,7 +13,6 @@
 namespace pineridge::admission {
 
 enum class Why { welcome, crowd_full, address_full, network_full, opens_too_fast, no_room };
-const char *text_of(Why why);
 
 // One connection. Owned by whoever owns the connection; stands still while it is with the door.
 struct Guest {
@@ -54,7 +53,6 @@
     Guest *first_to_go(Ticks now, Ticks rested);
 
     void rules(const Entrance &rules); // others hold from now on; nobody is put out for it
-    void resize(std::size_t room) { room_ = room; }
 
     // What holds for an address, and why, in lines for a person.
     std::string explain(const Number &address, Ticks now) const;
@@ -85,11 +83,11 @@
     Guest *to_go(const Guest *newcomer, Ticks now, Ticks rested);
     void shelve(Guest &guest, Ticks now);
     void unshelve(Guest &guest);
+    void look_up(Guest &guest); // its crowd and sources, by its address
     void seat(Guest &guest, Ticks now);
     Reception refuse(Guest &guest, Why why, Ticks least);
     Network network_of(const Number &address) const;
     const Crowd &crowd(int at) const { return rules_->crowds[static_cast<std::size_t>(at)]; }
-    Ticks spread(Ticks least);
 
     const Entrance *rules_;
     std::size_t room_, open_ = 0;
--- a/src/admission/ledger.cpp
+++ b/src/admission/ledger.cpp
@@ -8,11 +8,6 @@
 
 namespace pineridge::admission {
 
-const char *text_of(Purpose purpose) {
-    constexpr const char *kNames[] = {"clients", "hosts", "list", "platform", "drains", "spare"};
-    return kNames[static_cast<std::size_t>(purpose)];
-}
-
 Ledger::Ledger(std::size_t total, const std::array<Part, kPurposes> &parts) : total_(total), parts_(parts) {
     std::size_t least = 0;
     for (Part &part : parts_) least += part.least, part.most = std::max(part.most, part.least);
--- a/src/admission/ledger.hpp
+++ b/src/admission/ledger.hpp
@@ -7,9 +7,8 @@
 
 namespace pineridge::admission {
 
-enum class Purpose { clients, hosts, list, platform, drains, spare };
-inline constexpr std::size_t kPurposes = 6;
-const char *text_of(Purpose purpose);
+enum class Purpose { clients, hosts, drains };
+inline constexpr std::size_t kPurposes = 3;
 
 class Ledger {
   public:
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace pineridge {
 
 using Span = std::chrono::milliseconds;
+using Tick = std::chrono::duration<std::int64_t, std::ratio<1, 10000>>; // the module's unit of time
 
 struct Limits {
     // What the deployment tells.
--- a/src/cli/now.hpp
+++ b/src/cli/now.hpp
@@ -1,6 +1,7 @@
 // The calendar's time as the program counts it: ticks since the Unix epoch.
 #pragma once
 
+#include "base/limits.hpp"
 #include "logic.hpp"
 
 #include <chrono>
@@ -8,7 +9,6 @@
 namespace pineridge::cli {
 
 inline Ticks clock_now() {
-    using Tick = std::chrono::duration<Ticks, std::ratio<1, 10000>>;
     return std::chrono::floor<Tick>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -37,11 +37,13 @@
         guest_.owner = this;
     }
 
-    // Its seat, with the door's word on it.
-    admission::Reception come_in(const asio::ip::address &from) {
+    // Asks for a seat; whoever goes for it is closed. Above 0: it may not stay, and is to come back after so
+    // long.
+    Ticks come_in(const asio::ip::address &from) {
         const admission::Reception said = home_.door_->opened(guest_, number_of(from), home_.now());
         seated_ = said.welcome();
-        return said;
+        if (said.instead) static_cast<Client *>(said.instead->owner)->close();
+        return home_.rules_->observe ? 0 : said.back;
     }
 
     asio::awaitable<void> serve() {
@@ -68,7 +70,7 @@
             age_ = home_.late(socket_.native_handle(), since_);
             take_commands();
             write();
-            room_ = room.size();
+            read_room_ = room.size();
             weigh();
         }
         // The client has left, or is answered for its bad bytes; what it still waits for ends here.
@@ -160,11 +162,7 @@
             return false;
         }
         needs_head_ = false;
-        if (header.client && home_.door_) {
-            const admission::Reception said = come_in(*header.client);
-            if (said.instead) static_cast<Client *>(said.instead->owner)->close();
-            if (!said.welcome() && !home_.rules_->observe) refused_for_ = said.back;
-        }
+        if (header.client && home_.door_) refused_for_ = come_in(*header.client);
         session_.feed(std::string_view(head_).substr(header.size));
         head_ = {};
         return true;
@@ -173,7 +171,7 @@
     // After whatever it holds more or less of.
     void weigh() {
         if (closed_) return;
-        const std::size_t now = session_.bytes() + head_.capacity() + room_;
+        const std::size_t now = session_.bytes() + head_.capacity() + read_room_;
         home_.held_bytes_ += now - bytes_;
         bytes_ = now;
         if (!session_.half_read())
@@ -265,7 +263,7 @@
     admission::Guest guest_;
     std::vector<bool> answered_; // RPCs whose answers are not all written: were they served?
     std::string head_; // of a front, as far as it has come
-    std::size_t bytes_ = 0, room_ = 0; // what it holds, as counted among all; of it to read into
+    std::size_t bytes_ = 0, read_room_ = 0; // what it holds, as counted among all; of it to read into
     Ticks refused_for_ = 0; // above 0: its first command is answered so, and it is closed
     bool writing_ = false, closed_ = false, broken_ = false, used_ = false;
     bool needs_head_, seated_ = false, closing_ = false;
@@ -277,11 +275,7 @@
     rules(start.entrance);
 }
 
-Ticks Clients::now() {
-    return std::chrono::floor<std::chrono::duration<Ticks, std::ratio<1, 10000>>>(
-               Clock::now().time_since_epoch())
-        .count();
-}
+Ticks Clients::now() { return std::chrono::floor<Tick>(Clock::now().time_since_epoch()).count(); }
 
 // Those that came in while there was no door have no seat; they go by the older order.
 void Clients::rules(std::shared_ptr<const Entrance> rules) {
@@ -307,8 +301,7 @@
 // is not to be down. A time to come back is told where the platform allows it, and no longer.
 std::string Clients::refusal(const std::vector<std::string_view> &words, Ticks back) const {
     if (words[0] == "PING") return "+PONG\r\n";
-    if (!start_.terms.advise_pause) return "-BUSY\r\n";
-    return "-BUSY " + std::to_string((std::min(back, start_.terms.max_pause) + 9) / 10) + "\r\n";
+    return clients::busy(allowed(start_.terms, back));
 }
 
 // What goes first where memory is short: buffers of clients that are owed nothing, the largest first. Those
@@ -365,11 +358,8 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const bool behind_front = is_front(from);
     const auto client = std::make_shared<Client>(*this, std::move(socket), behind_front);
-    if (door_ && !behind_front) {
-        const admission::Reception said = client->come_in(from);
-        if (said.instead) static_cast<Client *>(said.instead->owner)->close();
-        if (!said.welcome() && !rules_->observe) return client->turn_away(said.back);
-    }
+    if (door_ && !behind_front)
+        if (const Ticks back = client->come_in(from); back > 0) return client->turn_away(back);
     open_.insert(client);
     client->counted =
         ledger_.take(admission::Purpose::clients); // not, where all is taken in to be answered at the end
--- a/src/router/clients/request.cpp
+++ b/src/router/clients/request.cpp
@@ -75,6 +75,14 @@
     return asked;
 }
 
+std::string busy(Ticks back) {
+    return back > 0 ? "-BUSY " + std::to_string((back + 9) / 10) + "\r\n" : "-BUSY\r\n";
+}
+
+Ticks allowed(const Terms &terms, Ticks back) {
+    return terms.advise_pause ? std::min(back, terms.max_pause) : 0;
+}
+
 Held::Held(std::string_view bytes, const Asked &read) : command(bytes), asked(read) {
     for (std::string_view *view : {&asked.id, &asked.key, &asked.names, &asked.patience_at})
         *view = std::string_view(command).substr(view->data() - bytes.data(), view->size());
--- a/src/router/clients/request.hpp
+++ b/src/router/clients/request.hpp
@@ -30,6 +30,12 @@
 // Throws BadInput for what no client should send; `most` bounds its id and its key.
 Asked read_rpc(const std::vector<std::string_view> &words, const Names &names, std::size_t most);
 
+// The answer to what is pushed back; `back`: when to come again, 0 where nothing is told of it.
+std::string busy(Ticks back);
+// What may be told of a time to come back: nothing where the platform does not allow it, and no longer time
+// than it allows.
+Ticks allowed(const Terms &terms, Ticks back);
+
 // The command once more with another time, as views into it and into the scratch.
 struct Reworded {
     std::array<char, 48> size, digits;
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-using Tick = std::chrono::duration<Ticks, std::ratio<1, 10000>>;
-std::string busy(Ticks back) {
-    return back > 0 ? "-BUSY " + std::to_string((back + 9) / 10) + "\r\n" : "-BUSY\r\n";
-}
-// A time to come back is told only where the platform allows it, and no longer than it allows.
-Ticks allowed(const Terms &terms, Ticks back) {
-    return terms.advise_pause ? std::min(back, terms.max_pause) : 0;
-}
 constexpr const char *kVerdicts[] = {"none", "on", "hold", "back"};
 
 // Clients and hosts have parts of their own; those for the list, the platform and the rest are the reserve
@@ -157,8 +149,8 @@
         } else {
             Ticks back = made.span;
             if (counter_ && !entrance_->observe)
-                back = allowed(start_.terms, counter_->pushed_back(at->second.wanted, back, time()));
-            answer(at->second, busy(back));
+                back = clients::allowed(start_.terms, counter_->pushed_back(at->second.wanted, back, time()));
+            answer(at->second, clients::busy(back));
         }
         return forget_if_over(made.rpc);
     }
@@ -209,11 +201,11 @@
     const Ticks now = time();
     rpc.wanted = {asked.tenant, asked.method,
                   mix(std::string(asked.key), static_cast<std::uint64_t>(asked.method)), asked.retry};
-    counter_->lay(std::chrono::duration_cast<Tick>(age).count(), now);
+    counter_->lay(std::chrono::duration_cast<Tick>(age).count());
     const admission::Told told = counter_->arrived(rpc.wanted, now);
     rpc.counted = told.by == admission::Held::none;
     if (rpc.counted || entrance_->observe) return true;
-    answer(rpc, busy(allowed(start_.terms, told.back)));
+    answer(rpc, clients::busy(clients::allowed(start_.terms, told.back)));
     forget_if_over(id);
     return false;
 }
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -232,7 +232,8 @@
 void Hosts::dial_more(const std::string &id, Place &place) {
     const Limits &limits = start_.limits;
     const std::size_t waiting = place.waiting.size();
-    const std::size_t most = std::min({waiting, limits.dials + waiting / limits.dial_more, limits.most_dials});
+    const std::size_t most =
+        std::min({waiting, limits.dials + waiting / limits.dial_more, limits.most_dials});
     while (place.dialing < most) {
         if (!take_descriptor()) return;
         ++place.dialing;
@@ -244,14 +245,9 @@
 // a full house from ending in RPCs that reach nobody.
 bool Hosts::take_descriptor() {
     using admission::Purpose;
-    bool taken = ledger_.take(Purpose::hosts);
-    if (!taken) {
-        free_idle(idle_ / 2);
-        taken =
-            ledger_.take(Purpose::hosts) || (Clock::now() < drain_until_ && ledger_.take(Purpose::drains));
-    }
-    open_ += taken;
-    return taken;
+    if (ledger_.take(Purpose::hosts)) return true;
+    free_idle(idle_ / 2);
+    return ledger_.take(Purpose::hosts) || (Clock::now() < drain_until_ && ledger_.take(Purpose::drains));
 }
 
 asio::awaitable<void> Hosts::dial(std::string id, std::uint64_t process, Address address) {
@@ -266,7 +262,7 @@
     const bool stands = at != places_.end() && at->second.process == process;
     if (stands) --at->second.dialing;
     if (failed == asio::error::no_descriptors) { // not the host's fault: what comes free must do
-        log_(Level::warning, "no descriptor to reach a host, connections ", open_);
+        log_(Level::warning, "no descriptor to reach a host, connections ", open());
         co_return close(socket);
     }
     if (failed || fuse.blown() || !stands) {
@@ -304,7 +300,6 @@
     boost::system::error_code ignored;
     socket->close(ignored);
     socket.reset();
-    --open_;
     using admission::Purpose; // what drains took comes back first
     ledger_.give_back(ledger_.taken(Purpose::drains) > 0 ? Purpose::drains : Purpose::hosts);
 }
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -38,7 +38,9 @@
     asio::awaitable<void> warm_up(); // returns once connections stand, or could not be had in time
     void sweep();
     void free_idle(std::size_t most); // closes idle connections beyond so many
-    std::size_t open() const { return open_; }
+    std::size_t open() const {
+        return ledger_.taken(admission::Purpose::hosts) + ledger_.taken(admission::Purpose::drains);
+    }
     int build_of(const std::string &id) const; // below 0: not listed
 
   private:
@@ -74,7 +76,7 @@
     admission::Ledger &ledger_;
     std::unordered_map<std::string, Place> places_;
     Trust trust_;
-    std::size_t open_ = 0, idle_ = 0;
+    std::size_t idle_ = 0;
     std::uint64_t processes_ = 0;
     Clock::time_point drain_until_{};
 };
--- a/src/router/service.cpp
+++ b/src/router/service.cpp
@@ -45,10 +45,10 @@
         std::shared_ptr<const Entrance> entrance;
         std::string fault;
         try {
-            const Wishes wishes = start_.wishes_again();
+            Wishes wishes = start_.wishes_again();
             if (wishes.entrance) {
                 check_fits(start_, *wishes.entrance);
-                entrance = std::make_shared<const Entrance>(*wishes.entrance);
+                entrance = std::make_shared<const Entrance>(std::move(*wishes.entrance));
             }
         } catch (const std::exception &bad) {
             fault = bad.what();
--- a/src/settings/entrance.hpp
+++ b/src/settings/entrance.hpp
@@ -28,7 +28,18 @@
     double rate = 0, burst = 0;
 };
 
-struct Entrance {
+// What RPCs are counted by, once their connections are in.
+struct Counting {
+    std::vector<Quota> quotas;
+    int routers = 0; // that share the quotas; 0: as the platform tells
+    double retry_share = 0; // retries let in, beside so many first tries; 0: no budget
+    double retry_least = 10; // a second, whatever the share
+    Ticks retry_window = 20000; // a first try so soon after a pushback of its key and method is a retry
+    Ticks late_aim = 0; // what clients sent may lie unread for so long; 0: no bound on RPCs under way
+    int least_under_way = 16;
+};
+
+struct Entrance : Counting {
     bool observe = false; // what would be refused is counted and said, and let in
     std::vector<Crowd> crowds{{"others"}}; // the first: all addresses in no network
     Networks networks; // group: place among the crowds
@@ -37,13 +48,6 @@
     Ticks trust_half = 6000000; // what an address earned by served RPCs fades by half in so long
     Ticks first_byte = 100000, whole_command = 100000, unread = 100000;
     std::vector<Network> fronts; // from these a PROXY header comes first
-    std::vector<Quota> quotas;
-    int routers = 0; // that share the quotas; 0: as the platform tells
-    double retry_share = 0; // retries let in, beside so many first tries; 0: no budget
-    double retry_least = 10; // a second, whatever the share
-    Ticks retry_window = 20000; // a first try so soon after a pushback of its key and method is a retry
-    Ticks late_aim = 0; // what clients sent may lie unread for so long; 0: no bound on RPCs under way
-    int least_under_way = 16;
 };
 
 } // namespace pineridge
