Tests and measurements wait, run and ask by one piece of code each

Seven copies of waiting for an event, two of an RPC's command, two of running a loop for a while, of raising descriptors and of resident memory. Bounds and assertions are as they were; all waits name their line now.

--- a/bench/admission_flood.cpp
+++ b/bench/admission_flood.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
-#include <sys/resource.h>
 
 using namespace pineridge;
 using namespace pineridge::standins;
@@ -25,11 +24,6 @@
 <crowd name="desks" reserve="300" weight="3"><network address="127.0.0.1/32"/></crowd>
 <slow first-byte-s="1" command-s="1" unread-s="2"/></admission></pineridge>)";
 
-void run_for(asio::io_context &io, std::int64_t ms) {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
-    while (std::chrono::steady_clock::now() < end) io.run_one_until(end);
-}
-
 struct Scene {
     Scene(const std::string &program, bool with_rules) : town(io, plot()) {
         for (int i = 0; i < 16; ++i) town.host("h" + std::to_string(i), "north", 1);
@@ -42,7 +36,8 @@
             words.insert(words.end(), {"--settings", (town.folder / "settings.xml").string()});
         }
         router.emplace(town.folder, program, words);
-        while (router->said().find("serving") == std::string::npos) run_for(io, 20);
+        while (router->said().find("serving") == std::string::npos)
+            run_for(io, std::chrono::milliseconds(20));
     }
     static Plot plot() {
         Plot plot;
@@ -52,9 +47,9 @@
     // RPCs of known clients served within 0.5 s, of those asked meanwhile.
     std::pair<int, int> good(std::int64_t ms) {
         const std::size_t before = town.clients.asked().size();
-        run_for(io, ms);
+        run_for(io, std::chrono::milliseconds(ms));
         const std::size_t until = town.clients.asked().size();
-        run_for(io, 1100);
+        run_for(io, std::chrono::milliseconds(1100));
         int served = 0;
         for (std::size_t i = before; i < until; ++i) {
             const auto &row = town.clients.asked()[i];
@@ -76,14 +71,14 @@
     };
     Scene scene(program, with_rules);
     scene.town.flow("acme", 1500);
-    run_for(scene.io, 1000);
+    run_for(scene.io, std::chrono::milliseconds(1000));
     const auto calm = scene.good(seconds * 1000);
     std::cout << (with_rules ? "with rules" : "without") << ": calm " << calm.first << " of " << calm.second
               << "\n";
     for (const auto &[name, plan] : floods) {
         Flood flood(scene.io, scene.town.listen, plan);
         flood.begin();
-        run_for(scene.io, 300);
+        run_for(scene.io, std::chrono::milliseconds(300));
         const double cpu = scene.router->cpu_s();
         const auto opened = flood.seen().opened;
         const auto got = scene.good(seconds * 1000);
@@ -93,18 +88,19 @@
                   << flood.seen().opened - opened << ", pushed back " << flood.seen().pushed_back
                   << ", router " << used << " s CPU, " << scene.router->memory_kb() / 1024 << " MiB\n";
         flood.stop();
-        run_for(scene.io, 1500);
+        run_for(scene.io, std::chrono::milliseconds(1500));
     }
     // Mass reconnect: 250 known clients at once while strangers open without pause.
     Flood flood(scene.io, scene.town.listen, {Manner::asks, 0x7f070001, 1000, 60, 2000});
     flood.begin();
-    run_for(scene.io, 500);
+    run_for(scene.io, std::chrono::milliseconds(500));
     scene.town.stop();
-    run_for(scene.io, 1100);
+    run_for(scene.io, std::chrono::milliseconds(1100));
     const std::size_t before = scene.town.clients.asked().size();
     const auto began = Town::now();
     for (int i = 0; i < 250; ++i) scene.town.clients.ask("bern", "lookup", "k" + std::to_string(i), 10000);
-    while (scene.town.clients.open() > 0 && Town::now() < began + 10500) run_for(scene.io, 5);
+    while (scene.town.clients.open() > 0 && Town::now() < began + 10500)
+        run_for(scene.io, std::chrono::milliseconds(5));
     std::int64_t last = 0;
     int served = 0;
     for (std::size_t i = before; i < scene.town.clients.asked().size(); ++i) {
@@ -122,10 +118,7 @@
 
 int main(int argc, char **argv) {
     if (argc < 2) return 2;
-    rlimit files{};
-    getrlimit(RLIMIT_NOFILE, &files);
-    files.rlim_cur = std::min<rlim_t>(files.rlim_max, 60000);
-    setrlimit(RLIMIT_NOFILE, &files);
+    allow_descriptors(60000);
     const int seconds = argc > 2 ? std::atoi(argv[2]) : 3;
     for (const bool with_rules : {false, true}) play(argv[1], with_rules, seconds);
 }
--- a/bench/admission_lookup.cpp
+++ b/bench/admission_lookup.cpp
@@ -3,9 +3,9 @@
 //
 //   build/tests/bench_admission_lookup
 #include "admission/door.hpp"
+#include "standins/program/program.hpp"
 
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <set>
@@ -21,17 +21,6 @@
     return std::chrono::duration<double, std::nano>(Clock::now() - began).count() / count;
 }
 
-long resident_kb() {
-    std::ifstream status("/proc/self/status");
-    for (std::string word; status >> word;)
-        if (word == "VmRSS:") {
-            long size = 0;
-            status >> size;
-            return size;
-        }
-    return 0;
-}
-
 Networks random_networks(int count, std::mt19937_64 &chance) {
     std::vector<Networks::Entry> entries;
     std::set<Network> seen;
@@ -69,7 +58,7 @@
     }
     Entrance rules;
     rules.crowds[0].per_address = 20;
-    const long before = resident_kb();
+    const long before = standins::resident_kb("self");
     Door door(rules, 586, 1);
     std::vector<Guest> guests(586);
     for (std::size_t i = 0; i < guests.size(); ++i)
@@ -80,6 +69,7 @@
     for (int i = 0; i < kSources; ++i)
         door.opened(passing, {0, 0xffff20000000 + static_cast<std::uint64_t>(i)}, i);
     std::cout << "flood from " << kSources << " sources: " << ns_since(began, kSources)
-              << " ns a connection, " << door.sources() << " addresses kept, " << resident_kb() - before
-              << " KiB more, refused " << door.refused(Why::no_room) << "\n";
+              << " ns a connection, " << door.sources() << " addresses kept, "
+              << standins::resident_kb("self") - before << " KiB more, refused " << door.refused(Why::no_room)
+              << "\n";
 }
--- a/bench/admission_stall.cpp
+++ b/bench/admission_stall.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
-#include <sys/resource.h>
 
 using namespace pineridge;
 using namespace pineridge::standins;
@@ -20,11 +19,6 @@
 
 constexpr std::int64_t kWindow = 200, kCalm = 2000, kAfter = 8000, kInTime = 500; // ms
 
-void run_for(asio::io_context &io, std::int64_t ms) {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
-    while (std::chrono::steady_clock::now() < end) io.run_one_until(end);
-}
-
 void play(const std::string &program, int rate, int sockets, int stall) {
     asio::io_context io;
     Plot plot;
@@ -35,21 +29,21 @@
     town.write_files();
     town.clients.lose_patience(2);
     Program router(town.folder, program, {"serve", "--config", (town.folder / "config.json").string()});
-    while (router.said().find("serving") == std::string::npos) run_for(io, 20);
+    while (router.said().find("serving") == std::string::npos) run_for(io, std::chrono::milliseconds(20));
     for (const std::string &customer : plot.customers) town.flow(customer, rate / 3.0);
-    run_for(io, kCalm / 2); // connections are made
+    run_for(io, std::chrono::milliseconds(kCalm / 2)); // connections are made
     const double before = router.cpu_s();
-    run_for(io, kCalm);
+    run_for(io, std::chrono::milliseconds(kCalm));
     const double calm_cpu = router.cpu_s() - before;
     router.signal(SIGSTOP);
-    run_for(io, stall);
+    run_for(io, std::chrono::milliseconds(stall));
     router.signal(SIGCONT);
     const std::int64_t woke = Town::now();
     const double woken = router.cpu_s();
-    run_for(io, kAfter);
+    run_for(io, std::chrono::milliseconds(kAfter));
     const double after_cpu = router.cpu_s() - woken;
     town.stop();
-    run_for(io, 1200);
+    run_for(io, std::chrono::milliseconds(1200));
     std::vector<int> asked(kAfter / kWindow + 1), good(kAfter / kWindow + 1);
     std::map<std::string, int> answers;
     int calm = 0, calm_good = 0;
@@ -81,10 +75,7 @@
 
 int main(int argc, char **argv) {
     if (argc < 2) return 2;
-    rlimit files{};
-    getrlimit(RLIMIT_NOFILE, &files);
-    files.rlim_cur = std::min<rlim_t>(files.rlim_max, 60000);
-    setrlimit(RLIMIT_NOFILE, &files);
+    allow_descriptors(60000);
     const int rate = argc > 2 ? std::atoi(argv[2]) : 8500, sockets = argc > 3 ? std::atoi(argv[3]) : 1024;
     std::vector<int> stalls;
     for (int i = 4; i < argc; ++i) stalls.push_back(std::atoi(argv[i]));
--- a/standins/clients/clients.cpp
+++ b/standins/clients/clients.cpp
@@ -25,18 +25,19 @@
     return id;
 }
 
-std::string command_of(const Asked &row, const std::string &key, int patience_ms) {
-    const bool safe = row.method.rfind("do", 0) != 0;
+} // namespace
+
+std::string rpc_command(const std::string &customer, const std::string &method, const std::string &key,
+                        const std::string &id, int patience_ms) {
+    const bool safe = method.rfind("do", 0) != 0;
     const std::string names =
-        "c=" + row.method + ",t=" + row.customer + ",d=" + std::to_string(std::max(1, patience_ms));
+        "c=" + method + ",t=" + customer + ",d=" + std::to_string(std::max(1, patience_ms));
     std::string command = safe ? "*4\r\n" + bulk("Q.ASK") : "*5\r\n" + bulk("Q.DO");
-    command += bulk(key) + bulk(row.rpc) + bulk(names);
+    command += bulk(key) + bulk(id) + bulk(names);
     if (!safe) command += bulk("body");
     return command;
 }
 
-} // namespace
-
 void Clients::ask(const std::string &customer, const std::string &method, const std::string &key,
                   int patience_ms) {
     asked_.push_back({now_(), id_of(asked_.size(), 0), customer, method});
@@ -71,7 +72,8 @@
     }
     if (tries == 0) asked_[at].at = now_();
     asked_[at].rpc = id_of(at, tries);
-    const std::string command = command_of(asked_[at], key, patience_ms);
+    const std::string command =
+        rpc_command(asked_[at].customer, asked_[at].method, key, asked_[at].rpc, patience_ms);
     Fuse fuse(socket->get_executor());
     if (impatient_) fuse.light(*socket, std::chrono::milliseconds(patience_ms));
     co_await asio::async_write(*socket, asio::buffer(command), as_tuple(use_awaitable));
--- a/standins/clients/clients.hpp
+++ b/standins/clients/clients.hpp
@@ -23,13 +23,17 @@
     int build = 0; // that served it
 };
 
+// The command that asks one RPC; methods whose name begins with "do" go as Q.DO, others as Q.ASK.
+std::string rpc_command(const std::string &customer, const std::string &method, const std::string &key,
+                        const std::string &id, int patience_ms);
+
 class Clients {
   public:
     using Now = std::function<std::int64_t()>;
     Clients(asio::io_context &io, asio::ip::tcp::endpoint router, Now now)
         : io_(io), router_(router), now_(std::move(now)) {}
 
-    // One RPC; methods whose name begins with "do" go as Q.DO, others as Q.ASK.
+    // One RPC.
     void ask(const std::string &customer, const std::string &method, const std::string &key,
              int patience_ms = 1000);
     asio::awaitable<bool> ready(); // has the router answered PING?
--- a/standins/flood/flood.cpp
+++ b/standins/flood/flood.cpp
@@ -1,5 +1,7 @@
 #include "standins/flood/flood.hpp"
 
+#include "standins/clients/clients.hpp"
+
 #include <algorithm>
 
 namespace pineridge::standins {
@@ -13,9 +15,7 @@
 std::string command(std::uint64_t number) {
     char id[20];
     std::snprintf(id, sizeof id, "f%015llx", static_cast<unsigned long long>(number));
-    const std::string names = "c=lookup,t=acme,d=500";
-    return "*4\r\n$5\r\nQ.ASK\r\n$2\r\nk1\r\n$16\r\n" + std::string(id) + "\r\n$" +
-           std::to_string(names.size()) + "\r\n" + names + "\r\n";
+    return rpc_command("acme", "lookup", "k1", id, 500);
 }
 
 } // namespace
--- a/standins/program/program.cpp
+++ b/standins/program/program.cpp
@@ -1,5 +1,6 @@
 #include "standins/program/program.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -7,6 +8,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 extern char **environ;
@@ -60,8 +62,10 @@
     return (user + kernel) / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
-long Program::memory_kb() const {
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+long Program::memory_kb() const { return resident_kb(std::to_string(pid_)); }
+
+long resident_kb(const std::string &process) {
+    std::ifstream status("/proc/" + process + "/status");
     for (std::string word; status >> word;)
         if (word == "VmRSS:") {
             long size = 0;
@@ -71,6 +75,18 @@
     return 0;
 }
 
+void run_for(boost::asio::io_context &io, std::chrono::milliseconds span) {
+    const auto end = std::chrono::steady_clock::now() + span;
+    while (std::chrono::steady_clock::now() < end) io.run_one_until(end);
+}
+
+void allow_descriptors(std::size_t most) {
+    rlimit files{};
+    getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = std::min<rlim_t>(files.rlim_max, most);
+    setrlimit(RLIMIT_NOFILE, &files);
+}
+
 std::string Program::said() const {
     std::ostringstream said;
     said << std::ifstream(out_).rdbuf();
--- a/standins/program/program.hpp
+++ b/standins/program/program.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
 Ran run(boost::asio::io_context &io, const std::filesystem::path &folder, const std::string &program,
         std::vector<std::string> words);
 
+// The loop goes on for so long.
+void run_for(boost::asio::io_context &io, std::chrono::milliseconds span);
+// This process may open as many descriptors as it is let, up to so many.
+void allow_descriptors(std::size_t most);
+long resident_kb(const std::string &process); // a process id, or "self"; 0: there is none
+
 bool has(const Ran &ran, const std::string &part); // else what was said goes to standard error
 
 } // namespace pineridge::standins
--- a/tests/admission/counter_test.cpp
+++ b/tests/admission/counter_test.cpp
@@ -129,7 +129,7 @@
     Counter counter = counter_of(rules);
     Ticks now = 0;
     const auto beat = [&](Ticks unread) {
-        counter.lay(unread, now);
+        counter.lay(unread);
         now += 1000;
     };
     for (int i = 0; i < 100; ++i) assert(counter.arrived({0, 0}, now).by == Held::none);
--- a/tests/admission/flood_test.cpp
+++ b/tests/admission/flood_test.cpp
@@ -2,6 +2,7 @@
 // and each RPC that was taken has its answer.
 #undef NDEBUG
 #include "../served.hpp"
+#include "../until.hpp"
 #include "standins/flood/flood.hpp"
 #include "standins/town/town.hpp"
 
@@ -42,13 +43,10 @@
             << "<pineridge xmlns=\"urn:pineridge:settings:1\">\n<admission" << more << ">\n"
             << rules << "\n</admission></pineridge>\n";
     }
-    void until(const std::function<bool()> &held) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(120);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end) std::cerr << served.logged.str();
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(5));
-        }
+    void until(const std::function<bool()> &held,
+               const std::source_location &place = std::source_location::current()) {
+        run_until(
+            io, held, 120, [&] { return served.logged.str(); }, place);
     }
     // So many RPCs of known clients, sixteen at once at most, while whatever goes on goes on.
     void ask(int count) {
--- a/tests/membership/command_test.cpp
+++ b/tests/membership/command_test.cpp
@@ -1,6 +1,7 @@
 // The program against a registry over TLS: the sub-commands as a person calls them, and a daemon that keeps
 // its own key there and takes it away before it ends.
 #undef NDEBUG
+#include "../until.hpp"
 #include "standins/certificates/certificates.hpp"
 #include "standins/program/program.hpp"
 #include "standins/registry/registry.hpp"
@@ -16,12 +17,10 @@
 
 namespace {
 
-void until(asio::io_context &io, const std::function<bool()> &held) {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (!held()) {
-        assert(std::chrono::steady_clock::now() < end);
-        io.run_one_for(std::chrono::milliseconds(10));
-    }
+void until(asio::io_context &io, const std::function<bool()> &held,
+           const std::source_location &place = std::source_location::current()) {
+    test::run_until(
+        io, held, 30, [] { return std::string(); }, place);
 }
 
 } // namespace
--- a/tests/membership/own_key_test.cpp
+++ b/tests/membership/own_key_test.cpp
@@ -1,5 +1,6 @@
 // The router's own key under a lease, on loopback against a registry on grpc++.
 #undef NDEBUG
+#include "../until.hpp"
 #include "membership/registration.hpp"
 #include "source_world.hpp"
 #include "standins/registry/registry.hpp"
@@ -29,13 +30,8 @@
     }
     void until(const std::function<bool()> &held,
                const std::source_location &place = std::source_location::current()) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end)
-                std::cerr << "waited in vain at line " << place.line() << "\n" << logged.str();
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
+        test::run_until(
+            io, held, 20, [&] { return logged.str(); }, place);
     }
     bool there() const { return registry.held().count(kKey) > 0; }
 
--- a/tests/membership/source_world.hpp
+++ b/tests/membership/source_world.hpp
@@ -1,6 +1,7 @@
 // A source with its view, told lists and a log, driven until events; for tests against any stand-in registry.
 #pragma once
 
+#include "../until.hpp"
 #include "list_value.hpp"
 #include "membership/source.hpp"
 
@@ -50,14 +51,8 @@
     }
     void until(const std::function<bool()> &held,
                const std::source_location &place = std::source_location::current()) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end)
-                std::cerr << "waited in vain at line " << place.line() << "\n"
-                          << logged.str() << text() << "\n";
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
+        test::run_until(
+            io, held, 20, [&] { return logged.str() + text(); }, place);
     }
     std::string text() const { // "a+b-": a is ready, b drains
         std::string all;
--- a/tests/membership/world.hpp
+++ b/tests/membership/world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../served.hpp"
+#include "../until.hpp"
 #include "standins/registry/registry.hpp"
 #include "standins/town/town.hpp"
 
@@ -31,13 +32,10 @@
 
     void put(const standins::Host &host) { registry.put("/hosts/" + host.id, host.entry().dump()); }
     bool said(const std::string &part) const { return served.has_logged(part); }
-    void until(const std::function<bool()> &held) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end) std::cerr << served.logged.str();
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(5));
-        }
+    void until(const std::function<bool()> &held,
+               const std::source_location &place = std::source_location::current()) {
+        run_until(
+            io, held, 30, [&] { return served.logged.str(); }, place);
     }
     int picks_at(const std::string &id, std::int64_t since) const {
         int count = 0;
--- a/tests/release/loopback_test.cpp
+++ b/tests/release/loopback_test.cpp
@@ -2,6 +2,7 @@
 // what the desk, the hosts and the clients saw.
 #undef NDEBUG
 #include "../served.hpp"
+#include "../until.hpp"
 #include "standins/town/town.hpp"
 
 #include <cassert>
@@ -33,18 +34,13 @@
     }
     void until(const std::function<bool()> &held,
                const std::source_location &place = std::source_location::current()) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end) {
-                std::cerr << "waited in vain at line " << place.line() << ", RPCs open "
-                          << town.clients.open() << "\n"
-                          << served.logged.str();
-                for (const Step &step : town.desk.ledger().steps())
-                    std::cerr << step.at << " " << step.word << "\n";
-            }
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
+        const auto told = [&] {
+            std::ostringstream all;
+            all << "RPCs open " << town.clients.open() << "\n" << served.logged.str();
+            for (const Step &step : town.desk.ledger().steps()) all << step.at << " " << step.word << "\n";
+            return all.str();
+        };
+        test::run_until(io, held, 30, told, place);
     }
     bool has_logged(const std::string &part) const { return served.has_logged(part); }
     // Says one RPC after another until so many more of this customer have been answered.
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -2,6 +2,7 @@
 #undef NDEBUG
 #include "router/service.hpp"
 #include "standins/http/place.hpp"
+#include "until.hpp"
 
 #include <cassert>
 #include <csignal>
@@ -139,13 +140,10 @@
         start = read_start_file(path, environment);
         service.emplace(io, path, environment, start, log, [this] { left = true; });
     }
-    void until(const std::function<bool()> &held) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (!held()) {
-            if (std::chrono::steady_clock::now() > end) std::cerr << logged.str();
-            assert(std::chrono::steady_clock::now() < end);
-            io.run_one_for(std::chrono::milliseconds(50));
-        }
+    void until(const std::function<bool()> &held,
+               const std::source_location &place = std::source_location::current()) {
+        test::run_until(
+            io, held, 20, [&] { return logged.str(); }, place);
     }
     bool has_logged(const std::string &part) const { return logged.str().find(part) != std::string::npos; }
 
