Many routers: each keeps to few hosts of its own order, and a key has no host of its own

Cause: src/logic.cpp choose() draws from all hosts. A router with 5 RPCs a second and 150 hosts hears of each once in 30 s; load reports count for 1.5 s (kReportAge), so held_by_others() is the same guess for every host, no idle connection is met again, and all routers follow the key's own host (kRingPoints: arcs of very different length) without hearing that it is full. Change: the hosts lie in an order of each router's own (by seed and id, weighted by rating); with more than three routers it draws among the first so many, as many as its traffic hears of every 2 s, eight at least. Others step in as these drain, and all are looked at where the best found missed its last pick, as before. Tests: little traffic keeps to few hosts, fails without.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -68,6 +68,8 @@
 constexpr Ticks kReportAge = 15000; // older load reports are not used
 constexpr double kReportTrust = 0.5; // of what a report shows beyond own picks, as it is late
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
+constexpr Ticks kHeardEach = 20000; // a host in reach has a pick so often
+constexpr std::size_t kLeastReach = 8; // hosts
 constexpr int kRingPoints = 4; // places of a host on the ring of keys, so that their parts are alike
 constexpr double kWarmKeyCost = 0.75, kOlderCost = 3.0; // of a host that likely met the key; of one replaced
 constexpr double kBudgetShare = 0.12, kBudgetMost = 30; // further picks a RPC, and saved up at most
@@ -352,6 +354,16 @@
         return cost * (0.9 + 0.2 * rng.unit());
     }
 
+    // A router with little traffic keeps to as many hosts as it hears of often, the first in an order of its
+    // own; others step in where these drain or fail. Stops a fleet of routers from opening a connection a
+    // pick, and each from knowing nothing of any host.
+    std::size_t reach(const Pool &pool) const {
+        if (terms.instances <= kFewRouters) return pool.hosts.size();
+        const double part = pool.total() / std::max(1e-9, pools[0].total() + pools[1].total());
+        const double heard = traffic * kHeardEach / 10000 * part;
+        return std::min(pool.hosts.size(), std::max(kLeastReach, static_cast<std::size_t>(heard)));
+    }
+
     // The best of some hosts drawn by weight: of all where few routers share the load, of a few where many
     // do. Stops routers that see little of the load, and that late, from all picking the same host.
     int choose(const Rpc &rpc, bool trial) {
@@ -360,7 +372,8 @@
         if (pool.hosts.empty()) return -1;
         int best = -1, last = -1;
         double least = 0, least_last = 0;
-        const bool warm_key = terms.rollout.warm_keys && !rpc.from.key.empty();
+        const bool warm_key =
+            terms.rollout.warm_keys && !rpc.from.key.empty() && terms.instances <= kFewRouters;
         const int favourite = warm_key ? pool.keeper(mix(rpc.from.key, 3)) : -1;
         const auto consider = [&](int i) {
             if (!eligible(rpc, hosts[i], trial)) return;
@@ -374,7 +387,7 @@
         const std::size_t sample = std::max(kLeastDrawn, pool.hosts.size() * 2 / terms.instances);
         if (sample < pool.hosts.size()) {
             if (favourite >= 0) consider(favourite);
-            for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit()));
+            for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit(), reach(pool)));
         }
         if (best < 0 || hosts[best].misses > 0)
             for (const int i : pool.hosts) consider(i);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <deque>
 #include <map>
+#include <numeric>
 #include <queue>
 #include <set>
 #include <unordered_map>
@@ -68,6 +69,7 @@
     Ticks others_at = -1; // never: below 0
     std::deque<Ticks> pushed{}; // picks of late, also those to the process before
     double dice = 0; // which of a fleet of routers may send where the part of each is under one pick
+    double rank = 0; // its place in this router's own order of hosts
 };
 
 // The hosts that may be picked of one side, and where keys fall among them.
@@ -79,8 +81,8 @@
     double load = 0; // of all routers
 
     double total() const { return upto.empty() ? 0 : upto.back(); }
-    int drawn(double unit) const {
-        const auto at = std::upper_bound(upto.begin(), upto.end() - 1, unit * total());
+    int drawn(double unit, std::size_t first) const { // of the first so many
+        const auto at = std::upper_bound(upto.begin(), upto.begin() + first - 1, unit * upto[first - 1]);
         return hosts[at - upto.begin()];
     }
     int keeper(std::uint64_t key) const {
@@ -166,6 +168,7 @@
 struct Instance : Router {
     Instance(Terms given, std::uint64_t seed) : terms(std::move(given)) {
         rng.state = seed * 2862933555777941757ULL + 3037000493ULL;
+        own_order = rng.state;
         usual.assign(terms.methods.size(), 0);
         usual_count.assign(terms.methods.size(), 0);
         taken.resize(terms.methods.size());
@@ -176,9 +179,11 @@
 
     Terms terms;
     Pcg rng;
+    std::uint64_t own_order = 0; // what its order of hosts is drawn by
     Ticks now = 0, armed = -1, beat_at = 0;
     std::vector<Host> hosts;
     std::unordered_map<std::string, int> host_at;
+    std::vector<int> in_order; // hosts by rank
     Pool pools[2]; // the earlier builds' and the trial's
     bool pools_due = true;
     double sound[2] = {0, 0}; // weight of the well ones on either side
@@ -273,12 +278,18 @@
                 next.open = host.open;
                 next.pushed = std::move(host.pushed);
                 next.dice = rng.unit();
+                const double unit = (mix(entry.id, own_order) >> 11) * 0x1p-53;
+                next.rank = -std::log(1 - unit) / std::max(0.05, entry.rating);
                 next.quiet_since = now;
                 host = std::move(next);
             }
             host.entry = entry;
             host.listed = entry.standing != Standing::gone;
         }
+        in_order.resize(hosts.size());
+        std::iota(in_order.begin(), in_order.end(), 0);
+        std::sort(in_order.begin(), in_order.end(),
+                  [&](int a, int b) { return hosts[a].rank < hosts[b].rank; });
         ask_wait = 0;
         pools_due = true;
     }
@@ -400,7 +411,7 @@
         pools_due = false;
         double told[2] = {0, 0}, there[2] = {0, 0}, own[2] = {0, 0};
         for (Pool &pool : pools) pool.hosts.clear(), pool.upto.clear(), pool.ring.clear();
-        for (int i = 0; i < static_cast<int>(hosts.size()); ++i) {
+        for (const int i : in_order) {
             const Host &host = hosts[i];
             if (!usable(host)) continue;
             const bool trial = on_trial(host.entry.build);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -3,6 +3,7 @@
 #include "helpers.hpp"
 
 #include <cassert>
+#include <set>
 
 using namespace pineridge;
 using namespace pineridge::test;
@@ -450,7 +451,63 @@
 
 } // namespace
 
+// --- many routers, little traffic each ---
+struct Fleet : Bench {
+    explicit Fleet(int hosts, std::uint64_t seed = 7) : Bench(given()) {
+        router = make_router(given(), seed);
+        for (int i = 0; i < hosts; ++i) host("h" + std::to_string(i), 1);
+        news(1, 1, Phase::released, 1);
+        pull();
+    }
+    static Terms given() {
+        Terms terms = trial_terms();
+        terms.instances = 300;
+        terms.rollout.warm_keys = true;
+        return terms;
+    }
+    // Served RPCs, one each so many ticks: the hosts that had one.
+    std::set<std::string> serve(int rpcs, Ticks each) {
+        std::set<std::string> met;
+        for (int i = 0; i < rpcs; ++i) {
+            at(clock + each);
+            const std::string id = "r" + std::to_string(++asked);
+            arrive(id, clock + 20000, "k" + std::to_string(asked));
+            for (const Decision &made : pull())
+                if (made.act == Act::pick) met.insert(made.host), end(made.rpc, made.pick, Outcome::ok, true);
+            pull();
+        }
+        return met;
+    }
+    int asked = 0;
+};
+
+void little_traffic_keeps_to_few_hosts() {
+    Fleet one(150), other(150, 8);
+    const auto first = one.serve(100, 2000), second = other.serve(100, 2000); // 5 a second
+    assert(first.size() <= 12 && first.size() >= 6); // about 80 without
+    assert(first != second);
+    assert(one.serve(100, 2000) == first); // stable
+}
+
+void five_times_the_traffic_reaches_more_hosts() {
+    Fleet busy(150);
+    busy.serve(400, 400);
+    assert(busy.serve(400, 400).size() > 30);
+}
+
+void others_step_in_for_those_that_drain() {
+    Fleet one(150);
+    const auto first = one.serve(100, 2000);
+    for (const std::string &id : first) one.drain(id);
+    const auto second = one.serve(50, 2000);
+    assert(second.size() >= 6);
+    for (const std::string &id : second) assert(first.count(id) == 0);
+}
+
 int main() {
+    little_traffic_keeps_to_few_hosts();
+    five_times_the_traffic_reaches_more_hosts();
+    others_step_in_for_those_that_drain();
     deadline_is_answered_once();
     started_stream_is_left_alone();
     possible_effect_is_not_repeated();
