Discovery is watched also where the settings say that lists are pushed

Log lines: of 273 routers none has a line of "list:" but, after SIGHUP, "info: list: from 127.12.0.1:8501 now" (218 routers): no call to discovery, failed or not, before that. The routers that were moved began a watch by that alone. Cause: src/logic.cpp next() gives Act::watch_list only where terms.list_by_asking holds, which src/terms/terms.cpp reads from membershipMode; under "push" the simulator sends changes unasked, discovery on sockets does not. src/router/driver.cpp begins its watch by that decision alone. Change: the router on sockets asks whatever the mode (src/router/start.cpp read_start). The simulator's adapter keeps the mode as told. Test: a router told "push" asks its discovery; it never did before.

--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -86,6 +86,9 @@
     if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size()) wrong("seed", "not a hex number");
     const json &settings = need(from, "settings");
     start.terms = read_terms(settings);
+    // On sockets discovery tells those who ask, and nobody else: also where the simulator would push changes.
+    // Stops a router from keeping to the list of its start, and picks from reaching hosts long drained.
+    start.terms.list_by_asking = true;
     start.names = {names(settings, "classes"), names(settings, "tenants"), names(settings, "zones"),
                    names(settings, "kinds"), names(need(settings, "report"), "fields")};
     for (const Method &method : start.terms.methods)
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -237,6 +237,15 @@
     assert(calls == 4 && town.list.taken == 4 && !town.has_logged("warning: list"));
 }
 
+// Where the simulator would push changes, discovery on sockets still has to be asked.
+void a_list_that_is_pushed_is_watched() {
+    Town town;
+    town.told["settings"]["membershipMode"] = "push";
+    town.write(town.told.dump());
+    town.serve();
+    town.until([&] { return town.list.was_sent("from=7"); });
+}
+
 // A line that cannot be read ends the stream's connection: the next is made at once and tells the state.
 void a_spoilt_stream_is_left() {
     Town town;
@@ -350,6 +359,7 @@
     a_file_that_is_not_sound_changes_nothing();
     second_copies_of_answers_are_nobodys_answer();
     spoilt_lists_are_asked_for_again();
+    a_list_that_is_pushed_is_watched();
     a_spoilt_stream_is_left();
     clients_that_stay_leave_room();
     pings_do_not_hold_up_leaving();
