Guessed sizes: latency is set against them, large RPCs go by fast machines, keys have hosts again

Log lines: "n0 info: serving ..., connections to hosts ..." and no "limit on" before 15 s, no pushback but 12: no jam. Cause, in src/state.hpp excess_of() and src/logic.cpp learn(): a host's latency is set against the method's usual alone. Sizes of one method spread as an exponential does, so with some picks a host (10% of each) that happened to have a large RPC counts as slow and the next one as fast; a router with 5 RPCs a second chooses by that noise. src/router/clients/request.cpp read the clients' guess (h) and threw it away. Change: Arrival tells the guess; latencies are set against it; the cost of a host rises with the size by what its kind is slower; a key has its host again, one of the few that a router hears of (all hosts where routers are few). Tests: a host that had the large ones is no slow one; a large RPC goes by a fast machine; a key keeps to one of the few: each fails without its part.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -70,6 +70,7 @@
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
 constexpr Ticks kHeardEach = 20000; // a host in reach has a pick so often
 constexpr std::size_t kLeastReach = 8; // hosts
+constexpr double kLargest = 6; // usual sizes, or parts of one, that a guess counts for: it is rough
 constexpr int kRingPoints = 4; // places of a host on the ring of keys, so that their parts are alike
 constexpr double kWarmKeyCost = 0.75, kOlderCost = 3.0; // of a host that likely met the key; of one replaced
 constexpr double kBudgetShare = 0.12, kBudgetMost = 30; // further picks a RPC, and saved up at most
@@ -118,6 +119,7 @@
         return held && now - since > span;
     }
 
+    double size_of(const Rpc &rpc) const { return std::clamp(rpc.size, 1 / kLargest, kLargest); }
     double usual_latency(int method) const {
         if (usual_count[method] == 0) return kLookLeast * terms.methods[method].soft_deadline;
         return std::exp(usual[method]);
@@ -194,7 +196,7 @@
             host.fails_at = now;
         }
         const bool timed = served || (pick.outcome == Outcome::too_slow && !hurried(rpc, pick));
-        const double excess = excess_of(pick, method);
+        const double excess = excess_of(pick, method, size_of(rpc));
         if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
         if (timed) note_lateness(rpc, ratio, kLateSpan, kHostRate);
@@ -236,7 +238,7 @@
         if (rpc.paired || !copy || copy->open) return;
         rpc.paired = copy->outcome == Outcome::ok || (served && speaks_against(rpc, *copy));
         if (!rpc.paired) return;
-        judge(rpc, *copy, copy->outcome != Outcome::ok, excess_of(*copy, rpc.from.method));
+        judge(rpc, *copy, copy->outcome != Outcome::ok, excess_of(*copy, rpc.from.method, size_of(rpc)));
     }
 
     void ended(const std::string &id, int number, Outcome outcome, Ticks took, bool complete,
@@ -344,6 +346,10 @@
         const double held = 1 + host.open + held_by_others(host, pools[on_trial(host.entry.build)]);
         double cost = held / host.weight;
         cost *= std::exp(std::clamp(host.excess - lately.fleet, 0.0, 3.0));
+        // A large RPC goes by fast machines, a small one leaves them to it. Stops those whose work alone
+        // takes long on a slow machine from missing their soft deadline.
+        const auto kind = kind_excess.find(host.entry.kind);
+        if (kind != kind_excess.end()) cost *= std::exp((size_of(rpc) - 1) * kind->second);
         const double sound = std::max(0.05, 1 - fails(host));
         // A host that missed picks in a row is left for others, longer each time. Stops fast failures from
         // drawing picks, dead or crowded hosts from using up an RPC's; keeps a router to hosts that know it.
@@ -364,6 +370,20 @@
         return std::min(pool.hosts.size(), std::max(kLeastReach, static_cast<std::size_t>(heard)));
     }
 
+    // The host that likely met the key of late. Where routers are many it is one of the few that this router
+    // hears of: one for all of them, each seeing little of its load, would be swamped.
+    int favourite_of(const Rpc &rpc, const Pool &pool) const {
+        if (!terms.rollout.warm_keys || rpc.from.key.empty()) return -1;
+        if (terms.instances <= kFewRouters) return pool.keeper(mix(rpc.from.key, 3));
+        int found = -1;
+        std::uint64_t most = 0;
+        for (std::size_t i = 0; i < reach(pool); ++i) {
+            const std::uint64_t draw = mix(rpc.from.key, mix(hosts[pool.hosts[i]].entry.id, 3));
+            if (found < 0 || draw > most) found = pool.hosts[i], most = draw;
+        }
+        return found;
+    }
+
     // The best of some hosts drawn by weight: of all where few routers share the load, of a few where many
     // do. Stops routers that see little of the load, and that late, from all picking the same host.
     int choose(const Rpc &rpc, bool trial) {
@@ -372,9 +392,7 @@
         if (pool.hosts.empty()) return -1;
         int best = -1, last = -1;
         double least = 0, least_last = 0;
-        const bool warm_key =
-            terms.rollout.warm_keys && !rpc.from.key.empty() && terms.instances <= kFewRouters;
-        const int favourite = warm_key ? pool.keeper(mix(rpc.from.key, 3)) : -1;
+        const int favourite = favourite_of(rpc, pool);
         const auto consider = [&](int i) {
             if (!eligible(rpc, hosts[i], trial)) return;
             const double price = cost(rpc, hosts[i]) * (i == favourite ? kWarmKeyCost : 1);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -88,6 +88,7 @@
     Ticks deadline;
     bool retry;
     int cell = -1; // of the release plan; shares are told by cell
+    Ticks size = 0; // its work as its client guesses it; 0: no guess
 };
 
 struct News {
--- a/src/router/clients/request.cpp
+++ b/src/router/clients/request.cpp
@@ -35,7 +35,7 @@
         if (value != "0" && value != "1") wrong("r", "neither 0 nor 1");
         asked.retry = value == "1";
     } else if (name == "h") {
-        number_of(value, "h");
+        asked.size = ticks_down(number_of(value, "h") / 1e6);
     } else if (name == "k") {
         check_word(value, "k", value.size());
     } else {
--- a/src/router/clients/request.hpp
+++ b/src/router/clients/request.hpp
@@ -15,6 +15,7 @@
     int tenant = 0;
     Ticks patience = 0; // counted from when the client sent it
     bool retry = false;
+    Ticks size = 0; // its work as the client guesses it; 0: no guess
     std::string_view names; // the list of names and values, whole
     std::string_view patience_at; // the digits of its time, within the list
 };
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -191,7 +191,7 @@
     at->second.cell = cell;
     if (office_) office_->arrived(cell);
     to.arrived({id, asked.method, asked.tenant, std::string(asked.key),
-                now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry, cell});
+                now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry, cell, asked.size});
 }
 
 // What is pushed back here has not been picked for, so that trying again is harmless. The module never hears
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -47,6 +47,7 @@
     arrival.key = has(from, "entity") ? text(from, "entity") : "";
     arrival.deadline = ticks(from, "deadline");
     arrival.retry = mark(from, "retry");
+    if (has(from, "sizeHint")) arrival.size = ticks(from, "sizeHint");
     return arrival;
 }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -45,6 +45,7 @@
 struct Rpc {
     Arrival from;
     double place; // where its key (or a draw) falls in the trial's range
+    double size = 1; // its guessed work over the usual
     bool over_share = false;
     bool done = false;
     bool queued = false;
@@ -216,6 +217,8 @@
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
     int arrivals = 0;
+    double usual_size = 0; // of guessed work
+    double guesses = 0;
     Figures lately, calm; // calm: when the trial began
     std::deque<Ticks> answered; // ok
     double best_rate = 0; // of them a second
@@ -311,6 +314,10 @@
         Rpc rpc{std::move(from), 0};
         rpc.place = rpc.from.key.empty() ? rng.unit() : (mix(rpc.from.key, 7) >> 11) * 0x1p-53;
         rpc.over_share = !within_quota(rpc.from.tenant);
+        if (const auto size = static_cast<double>(rpc.from.size); size > 0) {
+            usual_size += (size - usual_size) / ++guesses;
+            rpc.size = size / usual_size;
+        }
         due.emplace(rpc.from.deadline, rpc.from.id);
         ++pending;
         const std::string id = rpc.from.id;
@@ -546,8 +553,8 @@
         return told;
     }
 
-    double excess_of(const Pick &pick, int method) {
-        return std::log(std::max<Ticks>(1, pick.took)) - usual[method] -
+    double excess_of(const Pick &pick, int method, double size) {
+        return std::log(std::max<Ticks>(1, pick.took) / size) - usual[method] -
                kind_excess[hosts[pick.host].entry.kind];
     }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -3,7 +3,9 @@
 #include "helpers.hpp"
 
 #include <cassert>
+#include <map>
 #include <set>
+#include <utility>
 
 using namespace pineridge;
 using namespace pineridge::test;
@@ -504,7 +506,76 @@
     for (const std::string &id : second) assert(first.count(id) == 0);
 }
 
+// Four times the usual work takes four times as long: that is no fault of the host that had it.
+void a_hosts_latency_is_set_against_the_size_of_its_work() {
+    Bench bench(trial_terms());
+    bench.host("a", 1);
+    bench.host("b", 1);
+    bench.news(1, 1, Phase::released, 1);
+    int at_a = 0, next = 0;
+    const auto serve = [&](Ticks size, const std::string &only) {
+        const std::string id = "r" + std::to_string(++next);
+        bench.at(bench.clock + 1000);
+        if (!only.empty()) bench.drain(only == "a" ? "b" : "a");
+        bench.router->arrived({id, 0, 0, "", bench.clock + 9000, false, -1, size});
+        for (const Decision &made : bench.pull(Act::pick)) {
+            at_a += made.host == "a";
+            bench.router->ended(id, made.pick, Outcome::ok, size, true, {});
+        }
+        bench.host("a", 1);
+        bench.host("b", 1);
+        bench.pull();
+    };
+    for (int i = 0; i < 40; ++i) serve(1600, "a"), serve(400, "b");
+    at_a = 0;
+    for (int i = 0; i < 200; ++i) serve(800, "");
+    assert(at_a > 60 && at_a < 140); // none without
+}
+
+void a_large_rpc_goes_by_a_fast_machine() {
+    Bench bench(trial_terms());
+    for (int i = 0; i < 4; ++i)
+        bench.router->list({{std::to_string(i), 0, i % 2, 0, 1, Standing::ready, 1, 0}}, false);
+    bench.news(1, 1, Phase::released, 1);
+    int fast = 0, next = 0;
+    const auto serve = [&](Ticks size) {
+        const std::string id = "r" + std::to_string(++next);
+        bench.at(bench.clock + 1000);
+        bench.router->arrived({id, 0, 0, "", bench.clock + 9000, false, -1, size});
+        for (const Decision &made : bench.pull(Act::pick)) {
+            const bool slow = made.host == "1" || made.host == "3";
+            fast += !slow;
+            bench.router->ended(id, made.pick, Outcome::ok, size * (slow ? 16 : 10) / 10, true, {});
+        }
+    };
+    for (int i = 0; i < 400; ++i) serve(i % 10 ? 400 : 1600);
+    fast = 0;
+    for (int i = 0; i < 100; ++i) serve(2000);
+    const int large = std::exchange(fast, 0);
+    for (int i = 0; i < 100; ++i) serve(100);
+    assert(large > fast + 15); // as many of either without
+}
+
+void a_key_has_a_host_among_the_few() {
+    Fleet one(150);
+    one.serve(50, 2000);
+    std::map<std::string, int> met;
+    for (int i = 0; i < 60; ++i) {
+        one.at(one.clock + 2000);
+        const std::string id = "k" + std::to_string(i);
+        one.arrive(id, one.clock + 20000, "key");
+        for (const Decision &made : one.pull())
+            if (made.act == Act::pick) ++met[made.host], one.end(id, made.pick, Outcome::ok, true);
+    }
+    int most = 0;
+    for (const auto &[host, count] : met) most = std::max(most, count);
+    assert(most > 35); // 8 or so without
+}
+
 int main() {
+    a_hosts_latency_is_set_against_the_size_of_its_work();
+    a_large_rpc_goes_by_a_fast_machine();
+    a_key_has_a_host_among_the_few();
     little_traffic_keeps_to_few_hosts();
     five_times_the_traffic_reaches_more_hosts();
     others_step_in_for_those_that_drain();
