--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -194,14 +194,20 @@
     return std::string("*3\r\n") + bulk(heard.substr(id + 2, 6)) + "$-1\r\n$-1\r\n";
 }
 
+tcp::socket client_of(Town &town) {
+    town.until([&] { return town.has_logged("serving"); });
+    tcp::socket client(town.io);
+    client.connect({asio::ip::address_v4::loopback(), town.start.listen.port()});
+    client.non_blocking(true);
+    return client;
+}
+
 void second_copies_of_answers_are_nobodys_answer() {
     Town town;
     town.host.answer = host_answer;
     town.host.twice = true;
     town.serve();
-    town.until([&] { return town.has_logged("serving"); });
-    tcp::socket client(town.io);
-    client.connect({asio::ip::address_v4::loopback(), town.start.listen.port()});
+    tcp::socket client = client_of(town);
     std::string wanted, got(8192, '\0');
     std::size_t size = 0;
     for (int round = 100; round < 200; ++round) {
@@ -246,6 +252,46 @@
     town.until([&] { return town.list.was_sent("from=7"); });
 }
 
+// The fleet's largest lists under the smallest limits: 1,024 hosts, of which a third drains, and as many
+// routers.
+void a_full_fleet_fits_the_smallest_limits() {
+    Town town;
+    const auto fleet = [&](int version, const char *state) {
+        json list{{"version", version}, {"full", true}, {"servers", json::array()}};
+        for (int i = 0; i < 1024; ++i) {
+            json host = entry("s-" + std::to_string(i), town.host.address());
+            if (i % 3 == 0) host["state"] = state;
+            list["servers"].push_back(host);
+        }
+        return list;
+    };
+    town.list.answer = [&](const std::string &heard) {
+        return heard.find("from=7") != std::string::npos ? "" : sized(fleet(7, "terminating").dump());
+    };
+    town.told["known"] = fleet(5, "in_service");
+    town.told["settings"]["instances"] = 1024;
+    town.told["limits"] = {{"cores", 0.2}, {"memory_mb", 32}, {"sockets", 256}};
+    town.host.answer = [](const std::string &) { return "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"; };
+    town.write(town.told.dump());
+    town.serve();
+    town.until([&] { return town.list.was_sent("from=7") && town.has_logged("list: entries 1024"); });
+    tcp::socket client = client_of(town);
+    std::string got(8192, '\0');
+    std::size_t size = 0;
+    for (int i = 0; i < 100; ++i) {
+        asio::write(client, asio::buffer(ask("id-" + std::to_string(i))));
+        client.non_blocking(true);
+        const std::size_t wanted = (i + 1) * std::string("$2\r\nok\r\n").size();
+        town.until([&] {
+            boost::system::error_code none;
+            size += client.read_some(asio::buffer(&got[size], got.size() - size), none);
+            return size >= wanted;
+        });
+    }
+    assert(got.substr(0, 8) == "$2\r\nok\r\n");
+    assert(town.host.taken > 0 && town.host.taken - town.host.closed <= int(town.start.limits.hosts));
+}
+
 // A line that cannot be read ends the stream's connection: the next is made at once and tells the state.
 void a_spoilt_stream_is_left() {
     Town town;
@@ -258,14 +304,6 @@
     assert(town.has_logged("warning: stream"));
 }
 
-tcp::socket client_of(Town &town) {
-    town.until([&] { return town.has_logged("serving"); });
-    tcp::socket client(town.io);
-    client.connect({asio::ip::address_v4::loopback(), town.start.listen.port()});
-    client.non_blocking(true);
-    return client;
-}
-
 bool ended(tcp::socket &client) {
     char byte;
     boost::system::error_code end;
@@ -360,6 +398,7 @@
     second_copies_of_answers_are_nobodys_answer();
     spoilt_lists_are_asked_for_again();
     a_list_that_is_pushed_is_watched();
+    a_full_fleet_fits_the_smallest_limits();
     a_spoilt_stream_is_left();
     clients_that_stay_leave_room();
     pings_do_not_hold_up_leaving();
