--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -68,7 +68,6 @@
 constexpr Ticks kReportAge = 15000; // older load reports are not used
 constexpr double kReportTrust = 0.5; // of what a report shows beyond own picks, as it is late
 constexpr std::size_t kLeastDrawn = 3; // hosts compared for a pick where many routers share the load
-constexpr double kLeastRating = 0.05; // a host told to be worth less, or nothing, still counts for so much
 constexpr Ticks kHeardEach = 20000; // a host in reach has a pick so often
 constexpr std::size_t kLeastReach = 8; // hosts
 constexpr double kLargest = 6; // usual sizes, or parts of one, that a guess counts for: it is rough
@@ -92,17 +91,15 @@
 
 class Decider final : public Instance {
   public:
-    Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) {
-        budget = kBudgetMost / 2;
-        least_rating = kLeastRating;
-    }
+    Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
+    double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     void weigh_hosts() {
         if (!pools_due) return;
         sound[0] = sound[1] = 0;
         for (Host &host : hosts) {
             const auto kind = kind_excess.find(host.entry.kind);
-            host.weight = rating(host.entry) * warmth(host);
+            host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
             if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
         }
@@ -143,7 +140,7 @@
         measure_fleet(kColdSkip);
         double warm = 0;
         for (const Host &host : hosts)
-            if (usable(host) && warmth(host) >= 1) warm += rating(host.entry);
+            if (usable(host) && warmth(host) >= 1) warm += rating(host);
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
@@ -311,7 +308,7 @@
         const double warm = warmth(host);
         if (warm >= 1) return true;
         forget(host.pushed, std::max(now - terms.overload_for, host.entry.started));
-        const double part = pace * rating(host.entry) * terms.overload_for / 10000.0;
+        const double part = pace * rating(host) * terms.overload_for / 10000.0;
         const double allowed = kColdSafety * terms.overload_multiple * warm * part;
         const auto sent = static_cast<double>(host.pushed.size());
         return sent + 1 <= std::max(kColdFloor / terms.instances, allowed) + host.dice;
@@ -375,12 +372,12 @@
 
     // The host that likely met the key of late. Where routers are many it is one of the few that this router
     // hears of: one for all of them, each seeing little of its load, would be swamped.
-    int favourite_of(const Rpc &rpc, const Pool &pool, std::size_t first) const {
+    int favourite_of(const Rpc &rpc, const Pool &pool) const {
         if (!terms.rollout.warm_keys || rpc.from.key.empty()) return -1;
         if (terms.instances <= kFewRouters) return pool.keeper(mix(rpc.from.key, 3));
         int found = -1;
         std::uint64_t most = 0;
-        for (std::size_t i = 0; i < first; ++i) {
+        for (std::size_t i = 0; i < reach(pool); ++i) {
             const std::uint64_t draw = mix(rpc.from.key, mix(hosts[pool.hosts[i]].entry.id, 3));
             if (found < 0 || draw > most) found = pool.hosts[i], most = draw;
         }
@@ -395,8 +392,7 @@
         if (pool.hosts.empty()) return -1;
         int best = -1, last = -1;
         double least = 0, least_last = 0;
-        const std::size_t first = reach(pool);
-        const int favourite = favourite_of(rpc, pool, first);
+        const int favourite = favourite_of(rpc, pool);
         const auto consider = [&](int i) {
             if (!eligible(rpc, hosts[i], trial)) return;
             const double price = cost(rpc, hosts[i]) * (i == favourite ? kWarmKeyCost : 1);
@@ -409,7 +405,7 @@
         const std::size_t sample = std::max(kLeastDrawn, pool.hosts.size() * 2 / terms.instances);
         if (sample < pool.hosts.size()) {
             if (favourite >= 0) consider(favourite);
-            for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit(), first));
+            for (std::size_t i = 0; i < sample; ++i) consider(pool.drawn(rng.unit(), reach(pool)));
         }
         if (best < 0 || hosts[best].misses > 0)
             for (const int i : pool.hosts) consider(i);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -180,7 +180,6 @@
 
     Terms terms;
     Pcg rng;
-    double least_rating = 0;
     std::uint64_t own_order = 0; // what its order of hosts is drawn by
     Ticks now = 0, armed = -1, beat_at = 0;
     std::vector<Host> hosts;
@@ -238,7 +237,6 @@
     bool vote_counts = false;
     Ticks ask_at = 0, ask_wait = 0; // ask_at < 0: a call is out or a subscription stands
 
-    double rating(const HostEntry &entry) const { return std::max(least_rating, entry.rating); }
     bool on_trial(int build) const {
         return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
     }
@@ -273,7 +271,6 @@
     }
 
     void list(const std::vector<HostEntry> &entries, bool whole) override {
-        bool order_due = false;
         for (Host &host : hosts) host.listed = host.listed && !whole;
         for (const HostEntry &entry : entries) {
             const auto [at, fresh] = host_at.try_emplace(entry.id, static_cast<int>(hosts.size()));
@@ -285,20 +282,17 @@
                 next.pushed = std::move(host.pushed);
                 next.dice = rng.unit();
                 const double unit = (mix(entry.id, own_order) >> 11) * 0x1p-53;
-                next.rank = -std::log(1 - unit) / rating(entry);
-                order_due = true;
+                next.rank = -std::log(1 - unit) / std::max(0.05, entry.rating);
                 next.quiet_since = now;
                 host = std::move(next);
             }
             host.entry = entry;
             host.listed = entry.standing != Standing::gone;
         }
-        if (order_due) {
-            in_order.resize(hosts.size());
-            std::iota(in_order.begin(), in_order.end(), 0);
-            std::sort(in_order.begin(), in_order.end(),
-                      [&](int a, int b) { return hosts[a].rank < hosts[b].rank; });
-        }
+        in_order.resize(hosts.size());
+        std::iota(in_order.begin(), in_order.end(), 0);
+        std::sort(in_order.begin(), in_order.end(),
+                  [&](int a, int b) { return hosts[a].rank < hosts[b].rank; });
         ask_wait = 0;
         pools_due = true;
     }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -467,34 +467,28 @@
         terms.rollout.warm_keys = true;
         return terms;
     }
-    // Served RPCs, one each so many ticks, each with a key of its own or all with one: picks by host.
-    std::map<std::string, int> serve(int rpcs, Ticks each, const std::string &key = "") {
-        std::map<std::string, int> met;
+    // Served RPCs, one each so many ticks: the hosts that had one.
+    std::set<std::string> serve(int rpcs, Ticks each) {
+        std::set<std::string> met;
         for (int i = 0; i < rpcs; ++i) {
             at(clock + each);
             const std::string id = "r" + std::to_string(++asked);
-            arrive(id, clock + 20000, key.empty() ? "k" + id : key);
+            arrive(id, clock + 20000, "k" + std::to_string(asked));
             for (const Decision &made : pull())
-                if (made.act == Act::pick) ++met[made.host], end(made.rpc, made.pick, Outcome::ok, true);
+                if (made.act == Act::pick) met.insert(made.host), end(made.rpc, made.pick, Outcome::ok, true);
             pull();
         }
         return met;
     }
-    static std::set<std::string> hosts_of(const std::map<std::string, int> &met) {
-        std::set<std::string> hosts;
-        for (const auto &[host, picks] : met) hosts.insert(host);
-        return hosts;
-    }
     int asked = 0;
 };
 
 void little_traffic_keeps_to_few_hosts() {
     Fleet one(150), other(150, 8);
-    const auto first = Fleet::hosts_of(one.serve(100, 2000)); // 5 a second
-    const auto second = Fleet::hosts_of(other.serve(100, 2000));
+    const auto first = one.serve(100, 2000), second = other.serve(100, 2000); // 5 a second
     assert(first.size() <= 12 && first.size() >= 6); // about 80 without
     assert(first != second);
-    assert(Fleet::hosts_of(one.serve(100, 2000)) == first); // stable
+    assert(one.serve(100, 2000) == first); // stable
 }
 
 void five_times_the_traffic_reaches_more_hosts() {
@@ -505,9 +499,9 @@
 
 void others_step_in_for_those_that_drain() {
     Fleet one(150);
-    const auto first = Fleet::hosts_of(one.serve(100, 2000));
+    const auto first = one.serve(100, 2000);
     for (const std::string &id : first) one.drain(id);
-    const auto second = Fleet::hosts_of(one.serve(50, 2000));
+    const auto second = one.serve(50, 2000);
     assert(second.size() >= 6);
     for (const std::string &id : second) assert(first.count(id) == 0);
 }
@@ -565,8 +559,16 @@
 void a_key_has_a_host_among_the_few() {
     Fleet one(150);
     one.serve(50, 2000);
+    std::map<std::string, int> met;
+    for (int i = 0; i < 60; ++i) {
+        one.at(one.clock + 2000);
+        const std::string id = "k" + std::to_string(i);
+        one.arrive(id, one.clock + 20000, "key");
+        for (const Decision &made : one.pull())
+            if (made.act == Act::pick) ++met[made.host], one.end(id, made.pick, Outcome::ok, true);
+    }
     int most = 0;
-    for (const auto &[host, picks] : one.serve(60, 2000, "key")) most = std::max(most, picks);
+    for (const auto &[host, count] : met) most = std::max(most, count);
     assert(most > 35); // 8 or so without
 }
 
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -202,15 +202,6 @@
     return client;
 }
 
-// Reads on behind what has come, until so many bytes are there.
-void read_until(Town &town, tcp::socket &client, std::string &got, std::size_t &size, std::size_t wanted) {
-    town.until([&] {
-        boost::system::error_code none;
-        size += client.read_some(asio::buffer(&got[size], got.size() - size), none);
-        return size >= wanted;
-    });
-}
-
 void second_copies_of_answers_are_nobodys_answer() {
     Town town;
     town.host.answer = host_answer;
@@ -226,7 +217,12 @@
             asked += ask(id), wanted += bulk(id);
         }
         asio::write(client, asio::buffer(asked));
-        read_until(town, client, got, size, wanted.size());
+        client.non_blocking(true);
+        town.until([&] {
+            boost::system::error_code none;
+            size += client.read_some(asio::buffer(&got[size], got.size() - size), none);
+            return size >= wanted.size();
+        });
         assert(got.substr(0, size) == wanted);
     }
 }
@@ -284,7 +280,13 @@
     std::size_t size = 0;
     for (int i = 0; i < 100; ++i) {
         asio::write(client, asio::buffer(ask("id-" + std::to_string(i))));
-        read_until(town, client, got, size, (i + 1) * bulk("ok").size());
+        client.non_blocking(true);
+        const std::size_t wanted = (i + 1) * std::string("$2\r\nok\r\n").size();
+        town.until([&] {
+            boost::system::error_code none;
+            size += client.read_some(asio::buffer(&got[size], got.size() - size), none);
+            return size >= wanted;
+        });
     }
     assert(got.substr(0, 8) == "$2\r\nok\r\n");
     assert(town.host.taken > 0 && town.host.taken - town.host.closed <= int(town.start.limits.hosts));
