A fleet spreads its calls for the list: one start filled discovery's line for 11 s

Followed by logs: n81 and 46 more, killed at 21.3 s, never get the list again (status 503 at 22.97, 25.85, 29.64, 34.87, 40.13 s) and spend five picks an RPC on hosts that are gone (probe: REF picks 5, 60 hosts known, none of them alive).

Checked: counted over the fleet, 100 calls in the first instant, 40 answered in 2 s, then none until 8.3 s: discovery works through calls one at a time, also those that have been given up, and the news of standing watches waits behind them.

Changed: the first call and each next one are spread by 30 ms for each router, four seconds at most; the least pause after a failed one is as long.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -87,7 +87,8 @@
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
 constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
 constexpr std::size_t kMostAllowed = 256; // builds with shares by cell; beyond, the oldest numbers go
-constexpr Ticks kAskAgain = 8000; // wait after a failed call for the list; doubles up to four times that
+constexpr Ticks kAskAgain = 8000; // least wait after a failed call for the list; doubles up to four times
+constexpr Ticks kAskEach = 300, kAskSpread = 40000; // calls of a fleet spread so wide for each router, at most
 
 class Decider final : public Instance {
   public:
@@ -131,6 +132,7 @@
             if (const auto found = rpcs.find(due.top().second); found != rpcs.end()) enqueue(found->second);
         if (armed <= now) armed = -1;
         if (now < beat_at) return;
+        if (beat_at == 0) ask_at = now + static_cast<Ticks>(ask_span() * rng.unit());
         beat_at = now + kBeat;
         pools_due = true;
         count_traffic(kTrafficRate);
@@ -766,9 +768,15 @@
         return {.act = Act::vote, .build = known.build, .stage = known.stage, .verdict = verdict};
     }
 
+    // Discovery works through the calls of all routers one at a time, also those that have been given up. The
+    // more routers there are, the wider and the rarer each spreads its calls. Stops a fleet that starts in one
+    // instant from keeping that line full for itself, and the news of standing watches behind it.
+    Ticks ask_span() const { return std::min(kAskSpread, kAskEach * terms.instances); }
+
     void list_failed() override {
-        ask_wait = std::clamp(ask_wait * 2, kAskAgain, kAskAgain * 4);
-        ask_at = now + ask_wait + static_cast<Ticks>(ask_wait * 0.25 * rng.unit());
+        const Ticks least = std::max(kAskAgain, ask_span());
+        ask_wait = std::clamp(ask_wait * 2, least, least * 4);
+        ask_at = now + ask_wait + static_cast<Ticks>(std::max<Ticks>(ask_wait / 4, ask_span()) * rng.unit());
     }
 
     Decision next() override {
