Leaving: RPCs that come late end before the process may be killed

SIGKILL follows no sooner than the longest deadline (2.5 s here) and 0.7 s more.

Checked by reading: Clients::watch_leave goes on accepting for as long as an RPC came in the last 0.7 s, without an end of its own, and looks for idle connections each 5 ms, between which a client that asks again at once keeps its connection busy; Driver::rpc gives what comes then the client's whole time. Ruled out: a blocked loop (2 MB, a few percent of the core).

Changed: the end is told by settings (classes[].deadline, three seconds where it is missing or longer, 0.7 s more, 0.1 s lead): an RPC has no more time than is left to it, one that comes after is pushed back, accepting ends then, and a connection is closed with the answer that leaves it idle. Test: an RPC of five seconds to a silent host while leaving; without the change it is answered after five.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -18,6 +18,7 @@
     Span idle; // an idle connection to a host is closed by then
     Span vote_wait; // for the answer to a vote
     std::size_t streams; // picks that one connection to a host may carry
+    Span leave_by; // after SIGTERM: the process may be killed soon after
 
     // Shares of the descriptors.
     std::size_t clients;
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -234,6 +234,8 @@
                               self->since_ = Clock::now();
                               self->settle();
                               if (!self->broken_) self->take_commands();
+                              // Its client would use it again at once, before the next look at idle ones.
+                              if (self->home_.leaving_ && self->idle()) return self->close();
                               self->resume_.cancel();
                               self->write();
                               self->weigh();
@@ -484,6 +486,7 @@
         close_idle(limits.leave_unused);
         const auto now = Clock::now();
         if (now - began >= limits.leave_least && now - last_rpc_ >= limits.leave_quiet) break;
+        if (now - began >= limits.leave_by) break; // whoever comes still is pushed back
         timer.expires_after(limits.accept_pause);
         co_await timer.async_wait(use_awaitable);
     }
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -88,6 +88,7 @@
 
 // The key goes first, so that nobody is sent here any more; service ends in order meanwhile.
 void Driver::leave(std::function<void()> done) {
+    if (leave_by_ < 0) leave_by_ = time() + std::chrono::duration_cast<Tick>(start_.limits.leave_by).count();
     if (!own_key_) return clients_.leave(std::move(done));
     const auto left = std::make_shared<int>(2);
     const auto one = [left, done = std::move(done)] {
@@ -185,13 +186,18 @@
     const auto [at, fresh] = rpcs_.try_emplace(id, Rpc{reply, held});
     if (!fresh) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
     if (counter_ && !let_on(at->second, id, age)) return;
+    // What comes as this process is about to be killed is pushed back, what comes a little before has only the
+    // time that is left. Stops clients that go on asking over their old connections from never being answered.
+    if (leave_by_ >= 0 && time() >= leave_by_) return turn_away(at->second, id, 0);
     Router &to = module();
     const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead + age).count();
     const int cell = office_ ? office_->cell_of(asked.tenant) : -1;
     at->second.cell = cell;
     if (office_) office_->arrived(cell);
-    to.arrived({id, asked.method, asked.tenant, std::string(asked.key),
-                now_ + std::max<Ticks>(1, asked.patience - lead), asked.retry, cell, asked.size});
+    Ticks deadline = now_ + std::max<Ticks>(1, asked.patience - lead);
+    if (leave_by_ >= 0) deadline = std::min(deadline, std::max(now_ + 1, leave_by_));
+    to.arrived({id, asked.method, asked.tenant, std::string(asked.key), deadline, asked.retry, cell,
+                asked.size});
 }
 
 // What is pushed back here has not been picked for, so that trying again is harmless. The module never hears
@@ -205,11 +211,15 @@
     const admission::Told told = counter_->arrived(rpc.wanted, now);
     rpc.counted = told.by == admission::Held::none;
     if (rpc.counted || entrance_->observe) return true;
-    answer(rpc, clients::busy(clients::allowed(start_.terms, told.back)));
-    forget_if_over(id);
+    turn_away(rpc, id, told.back);
     return false;
 }
 
+void Driver::turn_away(Rpc &rpc, const std::string &id, Ticks back) {
+    answer(rpc, clients::busy(clients::allowed(start_.terms, back)));
+    forget_if_over(id);
+}
+
 void Driver::over(Rpc &rpc, bool served) {
     if (std::exchange(rpc.counted, false)) counter_->over(served, time());
 }
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -53,6 +53,7 @@
     Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
     void answer(Rpc &rpc, std::string bytes);
     bool let_on(Rpc &rpc, const std::string &id, Span age); // else it is answered
+    void turn_away(Rpc &rpc, const std::string &id, Ticks back); // of which the module never hears
     void over(Rpc &rpc, bool served);
     void forget_if_over(const std::string &id);
     void take_list(const membership::Listing &listing);
@@ -69,6 +70,7 @@
     const Start &start_;
     const Log &log_;
     std::unique_ptr<Router> module_;
+    Ticks leave_by_ = -1; // leaving: by then every answer has gone
     std::optional<membership::Source> registry_; // in discovery's place
     std::optional<membership::Registration> own_key_; // in the registry
     std::optional<release::Office> office_; // where releases go by cell
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t kReserve = 48; // list, platform, logs, timers, listener, a front's headers, drains
 constexpr std::size_t kLeastDescriptors = 128;
+// After SIGTERM the platform kills no sooner than a client's longest wait, or this where it is longer, and some
+// more. What is answered within has to be on its way a little before.
+constexpr Span kLongestWait{3000}, kLeaveMore{700}, kLeaveLead{100};
 
 // Where no environment variable stands in for a key, it must be in the file.
 std::string told(const json &from, const char *key, const Environment &environment, const char *variable) {
@@ -56,6 +59,10 @@
     limits.idle = span(allowed, "keepalive");
     limits.streams = count(allowed, "maxStreams", 1);
     limits.vote_wait = span(need(settings, "familyInfo"), "answerWait");
+    Span longest{0};
+    for (const json &method : list(settings, "classes"))
+        longest = std::max(longest, has(method, "deadline") ? span(method, "deadline") : kLongestWait);
+    limits.leave_by = std::min(longest, kLongestWait) + kLeaveMore - kLeaveLead;
     const std::size_t open = limits.descriptors - kReserve;
     limits.hosts = open * 2 / 5; // a third of all are for clients that ask, the rest for those that do not
     limits.clients = open - limits.hosts;
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -348,6 +348,25 @@
     });
 }
 
+// Told to end, it may be killed after a client's longest wait and some more: whoever comes with more time than
+// that is answered before, and the process is gone by then.
+void what_comes_while_leaving_is_answered_before_the_end() {
+    Town town;
+    for (json &method : town.told["settings"]["classes"]) method["deadline"] = 0.2;
+    town.write(town.told.dump());
+    town.serve();
+    client_of(town);
+    assert(town.start.limits.leave_by == Span(800));
+    const auto told_to_end = std::chrono::steady_clock::now();
+    std::raise(SIGTERM);
+    town.until([&] { return town.has_logged("leaving"); });
+    tcp::socket late = client_of(town);
+    asio::write(late, asio::buffer(ask("id-one"))); // its host says nothing; it would wait for five seconds
+    town.until([&] { return late.available() > 0; });
+    town.until([&] { return town.left; });
+    assert(std::chrono::steady_clock::now() - told_to_end < 3 * town.start.limits.leave_by);
+}
+
 void a_file_that_is_not_sound_changes_nothing() {
     Town town;
     town.serve();
@@ -402,4 +421,5 @@
     a_spoilt_stream_is_left();
     clients_that_stay_leave_room();
     pings_do_not_hold_up_leaving();
+    what_comes_while_leaving_is_answered_before_the_end();
 }
