Many routers: votes in turn, failures by period and by hosts struck, nothing opened unasked

At fault: Decider::vote (kVoteRetry), fails_much on own evidence, compare_all (one mean over a growing trial), trial_share, Limits::warm, the pace in clock().

Each has a test that fails without it (tests/fleet_test.cpp by mutation, logic_test, socket_test).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,6 +29,7 @@
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
+constexpr double kVoteTries = 0.5; // of the time in which each router has a turn, between tries of a vote on
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
 constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
@@ -88,7 +89,7 @@
 constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
 constexpr std::size_t kMostAllowed = 256; // builds with shares by cell; beyond, the oldest numbers go
 constexpr Ticks kAskAgain = 8000; // least wait after a failed call for the list; doubles up to four times
-constexpr Ticks kAskEach = 300, kAskSpread = 40000; // calls of a fleet spread so wide for each router, at most
+constexpr Ticks kAskEach = 300, kAskSpread = 40000; // width of a fleet's calls for each router; at most
 
 class Decider final : public Instance {
   public:
@@ -140,9 +141,16 @@
         forget_flows();
         while (allowed.size() > kMostAllowed) allowed.erase(allowed.begin());
         measure_fleet(kColdSkip);
-        double warm = 0;
+        double warm = 0, there[2] = {0, 0};
         for (const Host &host : hosts)
-            if (usable(host) && warmth(host) >= 1) warm += rating(host);
+            if (usable(host)) {
+                there[on_trial(host.entry.build)] += rating(host);
+                if (warmth(host) >= 1) warm += rating(host);
+            }
+        // Spread over a whole side's hosts its traffic is what a warm one serves. Stops a router that starts
+        // among cold hosts, and has seen no warm one serve, from pushing back what they could take.
+        places = std::max({places * kPaceFade, there[0], there[1]});
+        if (places > 0) pace = std::max(pace, traffic / places);
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
@@ -426,6 +434,9 @@
         Build &build = of(known.build);
         int first = 1 + static_cast<int>(terms.methods[method].repeat);
         if (!terms.second_copies && first == 1) first = 0;
+        // Where stages are few each has some of the last. Stops a build that fails one method alone from
+        // being released before anyone has met that.
+        first = std::min(first, static_cast<int>(terms.rollout.places.size()) - 1);
         double share = 0;
         if (known.stage >= first) {
             const auto stage = std::min<std::size_t>(known.stage, terms.rollout.places.size() - 1);
@@ -596,7 +607,8 @@
     // What all routers saw: the platform's tallies, or else what peers told. Stops a build that no router
     // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
-        Evidence told = compare_all(now - 5 * tell_wait() / 2, own_word(now - kEvidenceAge), kBackPairs);
+        const Word own = own_word(now - kEvidenceAge);
+        Evidence told = compare_all(now - 5 * tell_wait() / 2, own, kBackPairs, kBeat);
         if (told.timed < kBackPairs || limit > 0) told.slow = 0;
         // Tallies count picks that no host took as failures; own picks tell how many those are.
         if (!tallies.empty()) told.usual += of(known.build).tried.share();
@@ -629,6 +641,15 @@
         return std::accumulate(hit.begin(), few, 0.0) > kConcentrated * seen.all.failed;
     }
 
+    // Of many routers some one meets several bad hosts by chance. Stops it from sending a good build back for
+    // all: its own failures speak only where each of the least number has struck another host.
+    bool strikes_few(const Evidence &seen) const {
+        const auto failed = [](const auto &one) { return one.second.failed > 0; };
+        const auto struck = std::count_if(seen.by_host.begin(), seen.by_host.end(), failed);
+        return terms.instances > kFewRouters && struck < kBackDivergences &&
+               struck < static_cast<long>(seen.by_host.size());
+    }
+
     bool unwell(const Host &host) const {
         return fails(host) > kAilShare || missing(host) > 1 ||
                host.excess - lately.fleet > std::log(kSlowAil);
@@ -697,13 +718,13 @@
         if (odds > kFlagProof + std::log(terms.instances)) return back("flags", seen, odds);
         const bool pooled = !tallies.empty() || (told.routers > 1 && told.routers * 2 > terms.instances);
         const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
-        const bool failing = fails_much(seen) || (enough && fails_much(told));
+        const bool sees = fails_much(seen) && !strikes_few(seen);
+        const bool failing = sees || (enough && fails_much(told));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
         const bool lone = trial_runs() && pools[1].hosts.size() == 1;
         const bool waited = now - stage_at > kLoneFor;
         if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
-        if (failing && !lone && !host_explains(seen))
-            return back("failures", fails_much(seen) ? seen : told, seen.usual);
+        if (failing && !lone && !host_explains(seen)) return back("failures", sees ? seen : told, seen.usual);
         const double blind = trial_runs() ? blind_chance() : 1;
         if (lasts(blind < kBlind / std::sqrt(terms.instances), struck_since, kSlowFor))
             return back("its hosts", seen, blind);
@@ -753,6 +774,19 @@
         return judged == Verdict::on && in_last_stage() && !proven ? Verdict::none : judged;
     }
 
+    // The platform takes so many votes a second of all routers together. Stops a fleet from using them up for
+    // votes that stand already or are tried again at once, before votes back and the first of others.
+    Ticks vote_again_at() const {
+        const double rate = terms.rollout.votes_per_s;
+        const double turn = rate > 0 ? terms.instances / rate * 10000 : 0; // until each has had one
+        const bool scarce = turn > kVoteRenewal;
+        const Ticks life = terms.rollout.vote_life;
+        const Ticks stands = scarce ? life * 9 / 10 : std::min(kVoteRenewal, life * 2 / 3);
+        if (vote_counts) return voted_at + stands;
+        const double pause = voted == Verdict::back ? 0 : turn * kVoteTries * vote_draw;
+        return voted_at + std::max<Ticks>(kVoteRetry, static_cast<Ticks>(pause));
+    }
+
     Decision vote() {
         if (!(trial_runs() || watching()) || now < judge_at) return {};
         judge_at = now + kBeat;
@@ -760,17 +794,17 @@
         const bool stands_back = voted == Verdict::back && now < voted_at + kVoteRenewal;
         const Verdict verdict = stands_back ? voted : once_proven(judgement());
         if (verdict == Verdict::none && voted == Verdict::none) return {};
-        const Ticks stands = std::min(kVoteRenewal, terms.rollout.vote_life * 2 / 3);
-        if (verdict == voted && now < voted_at + (vote_counts ? stands : kVoteRetry)) return {};
+        if (verdict == voted && now < vote_again_at()) return {};
         voted = verdict;
         voted_at = now;
+        vote_draw = 0.5 + rng.unit();
         vote_counts = false;
         return {.act = Act::vote, .build = known.build, .stage = known.stage, .verdict = verdict};
     }
 
     // Discovery works through the calls of all routers one at a time, also those that have been given up. The
-    // more routers there are, the wider and the rarer each spreads its calls. Stops a fleet that starts in one
-    // instant from keeping that line full for itself, and the news of standing watches behind it.
+    // more routers, the wider and the rarer each spreads its calls. Stops a fleet that starts in one instant
+    // from keeping that line full for itself, and the news of standing watches behind it.
     Ticks ask_span() const { return std::min(kAskSpread, kAskEach * terms.instances); }
 
     void list_failed() override {
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -42,6 +42,7 @@
     double flag_share;
     Ticks window;
     Ticks vote_life;
+    double votes_per_s = 0; // that the platform takes of all instances; 0: not told
     std::vector<double> places;
     std::vector<double> caps;
 };
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -186,8 +186,9 @@
     const auto [at, fresh] = rpcs_.try_emplace(id, Rpc{reply, held});
     if (!fresh) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
     if (counter_ && !let_on(at->second, id, age)) return;
-    // What comes as this process is about to be killed is pushed back, what comes a little before has only the
-    // time that is left. Stops clients that go on asking over their old connections from never being answered.
+    // What comes as this process is about to be killed is pushed back, what comes a little before has only
+    // the time that is left. Stops clients that go on asking over their old connections from never being
+    // answered.
     if (leave_by_ >= 0 && time() >= leave_by_) return turn_away(at->second, id, 0);
     Router &to = module();
     const Ticks lead = std::chrono::duration_cast<Tick>(start_.limits.answer_lead + age).count();
@@ -196,8 +197,8 @@
     if (office_) office_->arrived(cell);
     Ticks deadline = now_ + std::max<Ticks>(1, asked.patience - lead);
     if (leave_by_ >= 0) deadline = std::min(deadline, std::max(now_ + 1, leave_by_));
-    to.arrived({id, asked.method, asked.tenant, std::string(asked.key), deadline, asked.retry, cell,
-                asked.size});
+    to.arrived(
+        {id, asked.method, asked.tenant, std::string(asked.key), deadline, asked.retry, cell, asked.size});
 }
 
 // What is pushed back here has not been picked for, so that trying again is harmless. The module never hears
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -12,8 +12,9 @@
 
 constexpr std::size_t kReserve = 48; // list, platform, logs, timers, listener, a front's headers, drains
 constexpr std::size_t kLeastDescriptors = 128;
-// After SIGTERM the platform kills no sooner than a client's longest wait, or this where it is longer, and some
-// more. What is answered within has to be on its way a little before.
+constexpr std::size_t kWarmOfAll = 36; // connections that all routers together open to a host before clients
+// After SIGTERM the platform kills no sooner than a client's longest wait, or this where it is longer, and
+// some more. What is answered within has to be on its way a little before.
 constexpr Span kLongestWait{3000}, kLeaveMore{700}, kLeaveLead{100};
 
 // Where no environment variable stands in for a key, it must be in the file.
@@ -101,6 +102,8 @@
     for (const Method &method : start.terms.methods)
         start.names.idempotent.push_back(method.repeat == Repeat::idempotent);
     start.limits = read_limits(need(from, "limits"), settings);
+    // Stops a fleet that starts at once from opening to each host what it never uses: hosts hold few.
+    start.limits.warm = std::min(start.limits.warm, kWarmOfAll / start.terms.instances);
     start.terms.room = static_cast<int>(start.limits.hosts); // a connection carries one pick at a time
     return start;
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -10,6 +10,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <deque>
@@ -213,6 +214,7 @@
     std::vector<std::pair<double, Ticks>> lateness; // by method, then by tenant: mean lateness, and when seen
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0; // picks a second at warm hosts, for each unit of rating
+    double places = 0; // rating of the hosts of a whole side, as many as there were of late
     std::deque<Ticks> warm_served;
     double traffic = 0; // first tries a second
     Ticks traffic_at = 0;
@@ -235,6 +237,7 @@
     Ticks stage_at = 0, voted_at = 0, judge_at = 0;
     Verdict voted = Verdict::none;
     bool vote_counts = false;
+    double vote_draw = 1; // spreads the next try
     Ticks ask_at = 0, ask_wait = 0; // ask_at < 0: a call is out or a subscription stands
 
     bool on_trial(int build) const {
@@ -515,8 +518,8 @@
     }
 
     // What all routers saw of the trial's build beside those before it, as tallied or else as peers told
-    // since then; latency by method, from so many picks on.
-    Evidence compare_all(Ticks told_since, const Word &own, double least) const {
+    // since then; latency by method, from so many picks on. Tallies that end so far apart are of two periods.
+    Evidence compare_all(Ticks told_since, const Word &own, double least, Ticks apart) const {
         Evidence told;
         std::vector<Count> before(terms.methods.size());
         told.by_method.resize(terms.methods.size());
@@ -533,8 +536,13 @@
         for (const auto &[peer, word] : words)
             if (word.build == known.build && word.at >= told_since) add(word);
         if (!tallies.empty()) told.by_method.assign(before.size(), {}), before.assign(before.size(), {});
+        std::vector<std::array<Count, 2>> periods; // the earlier builds' and the trial's
+        Ticks ended = -1;
         for (const auto &[at, row] : tallies) {
             if (row.build > known.build) continue;
+            if (periods.empty() || at > ended + apart) periods.emplace_back();
+            ended = at;
+            periods.back()[row.build == known.build].add(row.picks, row.failed);
             Count &count = (row.build == known.build ? told.by_method : before).at(row.method);
             count.add(row.picks, row.failed);
             count.time(row.picks - row.failed, std::log(std::max(1e-4, row.latency)));
@@ -549,6 +557,13 @@
             told.timed += one.timed;
         }
         told.usual = told.before.share();
+        // What strikes hosts of either build strikes most of a growing trial's picks, and few of the others'.
+        double usual = 0, beside = told.usual;
+        for (const auto &[others, trial] : periods) {
+            if (others.picks >= least) beside = others.share();
+            usual += trial.picks * beside;
+        }
+        if (told.all.picks > 0 && !periods.empty()) told.usual = usual / told.all.picks;
         told.slow /= std::max(1.0, told.timed);
         return told;
     }
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -37,6 +37,8 @@
     rollout.flag_share = number(from, "flagShare");
     rollout.window = ticks(from, "window");
     rollout.vote_life = ticks(from, "voteTtl");
+    if (has(from, "voteAllowance")) rollout.votes_per_s = number(from, "voteAllowance");
+    if (rollout.votes_per_s < 0) wrong("voteAllowance", "below 0");
     rollout.places = numbers(from, "rings");
     rollout.caps = numbers(from, "stageCap");
     if (rollout.places.empty()) wrong("rings", "empty");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,8 +2,13 @@
 #undef NDEBUG
 #include "helpers.hpp"
 
+#include "chance.hpp"
+
 #include <cassert>
+#include <cmath>
 #include <deque>
+#include <set>
+#include <tuple>
 
 using namespace pineridge;
 using namespace pineridge::test;
@@ -90,9 +95,184 @@
     }
 }
 
+Tally row(int build, int method, int picks, int failed) {
+    return {.build = build, .method = method, .picks = picks, .failed = failed, .age = 0, .latency = 0.1};
+}
+
+// Hosts begin to fail, of either build alike, as the trial's traffic grows: in each period it fails no more
+// than the earlier build does beside it, though over all periods together it does. Nobody of a hundred votes
+// back.
+void hosts_that_fail_send_no_good_build_back() {
+    Terms given = fleet_terms(100);
+    std::vector<Bench> routers = fleet(given);
+    for (Bench &one : routers) {
+        one.at(0);
+        for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
+        one.news(2, 1, Phase::on_trial, 1);
+        for (const int failing : {0, 0, 25}) {
+            one.at(one.clock + 20000);
+            one.router->tally(row(1, 0, failing ? 400 : 700, failing * 4));
+            one.router->tally(row(2, 0, failing ? 400 : 60, failing * 4));
+        }
+        one.at(one.clock + 1000);
+        for (const Decision &made : one.pull(Act::vote)) assert(made.verdict != Verdict::back);
+    }
+}
+
+// The same figures where the earlier build does not fail are the build's.
+void a_failing_build_is_found_by_a_hundred() {
+    std::vector<Bench> routers = fleet(fleet_terms(100));
+    for (Bench &one : routers) {
+        one.at(0);
+        for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
+        one.news(2, 1, Phase::on_trial, 1);
+        for (const int failing : {0, 0, 25}) {
+            one.at(one.clock + 20000);
+            one.router->tally(row(1, 0, failing ? 400 : 700, 0));
+            one.router->tally(row(2, 0, failing ? 400 : 60, failing * 4));
+        }
+        one.at(one.clock + 1000);
+        const auto votes = one.pull(Act::vote);
+        assert(votes.size() == 1 && votes[0].verdict == Verdict::back);
+    }
+}
+
+// Five of its picks fail. Where some of many routers meets four bad hosts among nine, that is chance; where
+// five hosts are struck it is the build. A lone router is not one of many.
+void failures_of_one_of_many_speak_where_they_strike_widely() {
+    for (const auto &[instances, bad, back] : {std::tuple{100, 4, false}, {100, 5, true}, {1, 4, true}}) {
+        Bench bench(fleet_terms(instances));
+        for (int i = 0; i < 9; ++i) bench.host(std::to_string(i), 2);
+        bench.news(2, 0, Phase::on_trial, 1);
+        std::vector<Decision> picks;
+        for (int i = 0; i < 40; ++i) {
+            bench.arrive(std::to_string(i) + "f", 9000);
+            const auto made = bench.pull(Act::pick);
+            assert(!made.empty());
+            picks.push_back(made[0]);
+        }
+        std::set<std::string> struck;
+        int failed = 0;
+        for (const Decision &made : picks) {
+            const bool fresh = struck.size() < static_cast<std::size_t>(bad) && !struck.count(made.host);
+            const bool fails = failed < 5 && (fresh || (failed >= bad && struck.count(made.host)));
+            failed += fails;
+            if (fails) struck.insert(made.host);
+            bench.end(made.rpc, 0, fails ? Outcome::fault : Outcome::ok, true);
+        }
+        assert(failed == 5 && static_cast<int>(struck.size()) == bad);
+        bench.at(bench.clock + 1000);
+        const auto votes = bench.pull(Act::vote);
+        const auto is_back = [](const Decision &made) { return made.verdict == Verdict::back; };
+        assert(std::any_of(votes.begin(), votes.end(), is_back) == back);
+    }
+}
+
+// The platform takes some votes a second and no more, with twice that at once; a vote stands for its life.
+struct Platform {
+    explicit Platform(double rate) : rate(rate), left(2 * rate) {}
+    double rate, left;
+    int calls = 0, turned_away = 0;
+    std::vector<Ticks> stands_until;
+
+    void step(std::vector<Bench> &routers, Ticks now, Ticks life) {
+        stands_until.resize(routers.size(), 0);
+        left = std::min(2 * rate, left + rate * kStep / 10000.0);
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            routers[i].at(now);
+            for (const Decision &made : routers[i].pull(Act::vote)) {
+                ++calls;
+                const bool taken = left >= 1;
+                if (taken) left -= 1, stands_until[i] = now + life;
+                if (!taken) ++turned_away;
+                routers[i].router->news({made.build, made.stage, Phase::on_trial, true, taken, 1, 0});
+            }
+        }
+    }
+    long standing(Ticks now) const {
+        return std::count_if(stands_until.begin(), stands_until.end(), [&](Ticks at) { return at > now; });
+    }
+};
+
+// Sixteen calls a second, votes that stand ten seconds, six in ten routers that must stand at once.
+void votes_of_a_fleet_fit_what_is_taken() {
+    for (const int instances : {100, 273, 1024}) {
+        Terms given = fleet_terms(instances);
+        given.rollout.votes_per_s = instances > 300 ? 80 : 16;
+        given.rollout.vote_life = 100000;
+        given.rollout.advance = Advance::share_of_votes;
+        given.rollout.on_votes = instances * 6 / 10;
+        std::vector<Bench> routers = fleet(given);
+        for (Bench &one : routers) {
+            one.at(0);
+            for (int i = 0; i < 4; ++i) one.host(std::to_string(i), 1 + i % 2);
+            one.news(2, 0, Phase::on_trial, 1);
+        }
+        Platform platform(given.rollout.votes_per_s);
+        long most = 0;
+        for (Ticks now = kStep; now <= 250000; now += kStep) {
+            platform.step(routers, now, given.rollout.vote_life);
+            most = std::max(most, platform.standing(now));
+        }
+        assert(most >= given.rollout.on_votes && platform.turned_away * 2 <= platform.calls + instances);
+    }
+}
+
+// Hosts that all return cold at once, and a fleet that knows no other: each router keeps to its part, one of
+// them with five times the others' traffic, and the sum stays under what a cold host stands, with its slack
+// for chance, while most are served.
+void a_cold_zone_is_served_within_its_parts() {
+    constexpr int kHosts = 60;
+    constexpr double kRate = 5; // RPCs a second of each router but one
+    Terms given = fleet_terms(100);
+    given.cold_share = 0.4, given.overload_multiple = 4, given.overload_for = 30000, given.cold_for = 40000;
+    std::vector<Bench> routers = fleet(given);
+    constexpr Ticks kStart = 1000000;
+    for (Bench &one : routers) {
+        one.at(kStart);
+        std::vector<HostEntry> hosts;
+        for (int i = 0; i < kHosts; ++i)
+            hosts.push_back({std::to_string(i), 0, 0, 0, 1, Standing::ready, 1, kStart});
+        one.router->list(hosts, true);
+    }
+    std::vector<std::deque<Ticks>> sent(kHosts);
+    // What a warm host serves a second where this traffic is 0.6 of what all can do.
+    const double full = kRate * 104 / kHosts / 0.6;
+    long asked = 0, picked = 0;
+    Pcg rng;
+    rng.state = 5;
+    for (Ticks now = kStart + kStep; now <= kStart + 50000; now += kStep)
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            Bench &one = routers[i];
+            one.at(now);
+            for (int n = i == 0 ? 5 : 1; n-- > 0;) {
+                if (rng.unit() >= kRate * kStep / 10000) continue;
+                const std::string id = std::to_string(one.next++) + "r";
+                one.arrive(id, now + 20000);
+                asked += now > kStart + 20000;
+                for (const Decision &made : one.pull(Act::pick)) {
+                    std::deque<Ticks> &at = sent[std::stoi(made.host)];
+                    at.push_back(now);
+                    while (at.front() < now - given.overload_for) at.pop_front();
+                    const double grown = std::min(1.0, double(now - kStart) / given.cold_for);
+                    const double n = 4 * (0.4 + 0.6 * grown) * full * given.overload_for / 10000;
+                    assert(at.size() <= n + 3 * std::sqrt(n) + 3);
+                    picked += now > kStart + 20000;
+                    one.router->ended(id, made.pick, Outcome::ok, 800, true, {});
+                }
+            }
+        }
+    assert(picked >= asked * 8 / 10);
+}
+
 } // namespace
 
 int main() {
+    hosts_that_fail_send_no_good_build_back();
+    a_failing_build_is_found_by_a_hundred();
+    failures_of_one_of_many_speak_where_they_strike_widely();
+    votes_of_a_fleet_fit_what_is_taken();
+    a_cold_zone_is_served_within_its_parts();
     a_fleets_start_leaves_discoverys_line_short();
     few_routers_ask_at_once();
 }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -427,6 +427,31 @@
     assert(count(made, Act::pick) == 5 && count(made, Act::push_back) == 15);
 }
 
+// Where there are three stages, a trickle of what must never run twice meets the build in the last one, so that
+// one which fails it alone is found before its release; none does in the stage before.
+void the_last_stage_meets_every_method() {
+    for (const int stage : {1, 2}) {
+        Terms given = terms(Repeat::non_idempotent);
+        given.rollout.places = {0.1, 0.6, 1};
+        given.rollout.caps = {0.1, 0.7, 1};
+        Bench bench(given);
+        bench.host("old", 1);
+        bench.host("new", 2);
+        bench.news(2, stage, Phase::on_trial, 1);
+        int there = 0;
+        for (int i = 0; i < 200; ++i) {
+            bench.at(bench.clock + 100);
+            bench.arrive(std::to_string(i) + "u", bench.clock + 9000);
+            for (const Decision &made : bench.pull(Act::pick)) {
+                there += made.host == "new";
+                bench.end(made.rpc, 0, made.host == "new" ? Outcome::fault : Outcome::ok, true);
+            }
+        }
+        assert(stage == 1 ? there == 0 : there > 0 && there < 80);
+    }
+}
+
+
 // The earlier host is in a jam: what is drawn for the trial's idle hosts goes there all the same.
 void jam_of_the_earlier_hosts_spares_the_trial() {
     for (const bool trial : {false, true}) {
@@ -613,5 +638,6 @@
     many_routers_do_not_herd();
     want_of_room_pushes_back();
     jam_of_the_earlier_hosts_spares_the_trial();
+    the_last_stage_meets_every_method();
     same_events_give_same_picks();
 }
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -348,8 +348,21 @@
     });
 }
 
-// Told to end, it may be killed after a client's longest wait and some more: whoever comes with more time than
-// that is answered before, and the process is gone by then.
+// Few routers have connections to each host before the first client; of a hundred none opens one unasked.
+void a_fleet_opens_nothing_unasked() {
+    for (const int instances : {1, 100}) {
+        Town town;
+        town.told["settings"]["instances"] = instances;
+        town.write(town.told.dump());
+        town.serve();
+        town.until([&] { return town.has_logged("serving"); });
+        assert(town.start.limits.warm == (instances == 1 ? 12 : 0));
+        assert((town.host.taken > 0) == (instances == 1));
+    }
+}
+
+// Told to end, it may be killed after a client's longest wait and some more: whoever comes with more time
+// than that is answered before, and the process is gone by then.
 void what_comes_while_leaving_is_answered_before_the_end() {
     Town town;
     for (json &method : town.told["settings"]["classes"]) method["deadline"] = 0.2;
@@ -422,4 +435,5 @@
     clients_that_stay_leave_room();
     pings_do_not_hold_up_leaving();
     what_comes_while_leaving_is_answered_before_the_end();
+    a_fleet_opens_nothing_unasked();
 }
