One of many routers sends back only what chance would not show to any of them

At fault: blind chance divided by the root of the routers though any of them may meet it, and five hosts at any size.

Changed: the chance is divided by a third of the routers, and own failures must strike log10(routers) hosts more (seven at 100). Up to three routers decide as before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -642,14 +642,19 @@
     }
 
     // Of many routers some one meets several bad hosts by chance. Stops it from sending a good build back for
-    // all: its own failures speak only where each of the least number has struck another host.
+    // all: its own failures speak only where they have struck that many hosts, more of them the more routers.
     bool strikes_few(const Evidence &seen) const {
         const auto failed = [](const auto &one) { return one.second.failed > 0; };
         const auto struck = std::count_if(seen.by_host.begin(), seen.by_host.end(), failed);
-        return terms.instances > kFewRouters && struck < kBackDivergences &&
+        return terms.instances > kFewRouters && struck < kBackDivergences + std::log10(terms.instances) &&
                struck < static_cast<long>(seen.by_host.size());
     }
 
+    // The chance below which one of them speaks: any of many routers may meet it.
+    double among_all(double chance) const {
+        return chance / std::max(std::sqrt(terms.instances), 1.0 * terms.instances / kFewRouters);
+    }
+
     bool unwell(const Host &host) const {
         return fails(host) > kAilShare || missing(host) > 1 ||
                host.excess - lately.fleet > std::log(kSlowAil);
@@ -726,8 +731,7 @@
         if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
         if (failing && !lone && !host_explains(seen)) return back("failures", sees ? seen : told, seen.usual);
         const double blind = trial_runs() ? blind_chance() : 1;
-        if (lasts(blind < kBlind / std::sqrt(terms.instances), struck_since, kSlowFor))
-            return back("its hosts", seen, blind);
+        if (lasts(blind < among_all(kBlind), struck_since, kSlowFor)) return back("its hosts", seen, blind);
         if (slows_all(told)) return back("slowing all", seen, std::exp(lately.better - calm.better));
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
