--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -427,8 +427,8 @@
     assert(count(made, Act::pick) == 5 && count(made, Act::push_back) == 15);
 }
 
-// Where there are three stages, a trickle of what must never run twice meets the build in the last one, so that
-// one which fails it alone is found before its release; none does in the stage before.
+// Where there are three stages, a trickle of what must never run twice meets the build in the last one, so
+// that one which fails it alone is found before its release; none does in the stage before.
 void the_last_stage_meets_every_method() {
     for (const int stage : {1, 2}) {
         Terms given = terms(Repeat::non_idempotent);
@@ -451,7 +451,6 @@
     }
 }
 
-
 // The earlier host is in a jam: what is drawn for the trial's idle hosts goes there all the same.
 void jam_of_the_earlier_hosts_spares_the_trial() {
     for (const bool trial : {false, true}) {
