A silent watch is asked anew at once: a fleet's spread calls left drains unheard for seconds

Watches opened in the first seconds fall silent; what they miss counts as told 2 s after their wait of 20 s. At fault: Limits::list_grace of 2.5 s, after which the module was told of a failed call and, since, paused 4 to 8 s at 300 routers (0.8 to 1 s before, which broke nothing there).

Test: a list that never answers a watch is asked again within 2 s by one of 300 routers.

--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -18,9 +18,18 @@
     std::string why;
     for (std::size_t spoilt = 0;;) {
         const bool whole = std::exchange(whole_due_, false);
+        const auto asked = std::chrono::steady_clock::now();
         try {
             why = co_await ask(whole);
             spoilt = 0;
+            // A watch that stood for its whole wait and said nothing has fallen silent: no overload, and what it
+            // missed counts as told soon. Stops picks at hosts long drained while the next call waits its turn.
+            if (!why.empty() && !whole &&
+                std::chrono::steady_clock::now() - asked >= start_.limits.list_hold) {
+                log_(Level::info, "list: a silent watch, asked anew: ", why);
+                link_.close();
+                continue;
+            }
         } catch (const std::exception &bad) {
             // Nothing of it is believed; the same is asked for at once, as a watch goes on only then.
             why = bad.what();
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -348,6 +348,21 @@
     });
 }
 
+// A watch that says nothing for its whole wait is asked anew at once, also by one of hundreds of routers.
+void a_silent_watch_is_asked_anew() {
+    Town town;
+    town.told["settings"]["instances"] = 300;
+    town.write(town.told.dump());
+    town.start = read_start_file(town.path, town.environment);
+    town.start.limits.list_hold = town.start.limits.list_grace = Span(200);
+    town.list.answer = [](const std::string &) { return ""; };
+    town.service.emplace(town.io, town.path, town.environment, town.start, town.log, [] {});
+    town.until([&] { return town.list.taken == 1; });
+    const auto first = std::chrono::steady_clock::now();
+    town.until([&] { return town.list.taken == 2; });
+    assert(std::chrono::steady_clock::now() - first < std::chrono::seconds(2));
+}
+
 // Few routers have connections to each host before the first client; of a hundred none opens one unasked.
 void a_fleet_opens_nothing_unasked() {
     for (const int instances : {1, 100}) {
@@ -435,5 +450,6 @@
     clients_that_stay_leave_room();
     pings_do_not_hold_up_leaving();
     what_comes_while_leaving_is_answered_before_the_end();
+    a_silent_watch_is_asked_anew();
     a_fleet_opens_nothing_unasked();
 }
