--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -99,40 +99,35 @@
     return {.build = build, .method = method, .picks = picks, .failed = failed, .age = 0, .latency = 0.1};
 }
 
+// A trial whose traffic grows on half of sixty hosts; in the last of three periods a quarter of its picks
+// fail, and so many of the earlier build's. The votes of one router of a hundred on that.
+std::vector<Decision> votes_on_tallies(Bench &one, int earlier_failed) {
+    one.at(0);
+    for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
+    one.news(2, 1, Phase::on_trial, 1);
+    for (const bool last : {false, false, true}) {
+        one.at(one.clock + 20000);
+        one.router->tally(row(1, 0, last ? 400 : 700, last ? earlier_failed : 0));
+        one.router->tally(row(2, 0, last ? 400 : 60, last ? 100 : 0));
+    }
+    one.at(one.clock + 1000);
+    return one.pull(Act::vote);
+}
+
 // Hosts begin to fail, of either build alike, as the trial's traffic grows: in each period it fails no more
 // than the earlier build does beside it, though over all periods together it does. Nobody of a hundred votes
 // back.
 void hosts_that_fail_send_no_good_build_back() {
-    Terms given = fleet_terms(100);
-    std::vector<Bench> routers = fleet(given);
-    for (Bench &one : routers) {
-        one.at(0);
-        for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
-        one.news(2, 1, Phase::on_trial, 1);
-        for (const int failing : {0, 0, 25}) {
-            one.at(one.clock + 20000);
-            one.router->tally(row(1, 0, failing ? 400 : 700, failing * 4));
-            one.router->tally(row(2, 0, failing ? 400 : 60, failing * 4));
-        }
-        one.at(one.clock + 1000);
-        for (const Decision &made : one.pull(Act::vote)) assert(made.verdict != Verdict::back);
-    }
+    std::vector<Bench> routers = fleet(fleet_terms(100));
+    for (Bench &one : routers)
+        for (const Decision &made : votes_on_tallies(one, 100)) assert(made.verdict != Verdict::back);
 }
 
 // The same figures where the earlier build does not fail are the build's.
 void a_failing_build_is_found_by_a_hundred() {
     std::vector<Bench> routers = fleet(fleet_terms(100));
     for (Bench &one : routers) {
-        one.at(0);
-        for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
-        one.news(2, 1, Phase::on_trial, 1);
-        for (const int failing : {0, 0, 25}) {
-            one.at(one.clock + 20000);
-            one.router->tally(row(1, 0, failing ? 400 : 700, 0));
-            one.router->tally(row(2, 0, failing ? 400 : 60, failing * 4));
-        }
-        one.at(one.clock + 1000);
-        const auto votes = one.pull(Act::vote);
+        const auto votes = votes_on_tallies(one, 0);
         assert(votes.size() == 1 && votes[0].verdict == Verdict::back);
     }
 }
