One value for how long a watch may be late: the limit's default, no longer overwritten

Limits::list_grace stood at 2.5 s, which read_limits overwrote with 1 s for everybody, so that the default was dead. The value is the same, in the one type that holds sizes and times.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -61,7 +61,7 @@
     Span unread_answers{10000}; // a client that takes none of its answer for so long is closed
     Span half_command{10000}; // and one that does not finish a command
     Span list_hold{20000};
-    Span list_grace{2500}; // over the hold, before a watch counts as failed
+    Span list_grace{1000}; // over the hold, before a watch is silent: what it missed counts as told 2 s after
     Span list_whole{2500}; // for the whole list
     Span answer_rest{1000}; // for the rest of an answer of discovery or the platform, after its first bytes
     Span platform_connect{1000};
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t kReserve = 48; // list, platform, logs, timers, listener, a front's headers, drains
 constexpr std::size_t kLeastDescriptors = 128;
-constexpr Span kSilent{1000}; // after its wait a watch is silent; 2 s after it what it missed counts as told
 constexpr std::size_t kWarmOfAll = 36; // connections that all routers together open to a host before clients
 // After SIGTERM the platform kills no sooner than a client's longest wait, or this where it is longer, and
 // some more. What is answered within has to be on its way a little before.
@@ -60,7 +59,6 @@
     limits.connect = span(allowed, "connectTimeout");
     limits.idle = span(allowed, "keepalive");
     limits.streams = count(allowed, "maxStreams", 1);
-    limits.list_grace = kSilent;
     limits.vote_wait = span(need(settings, "familyInfo"), "answerWait");
     Span longest{0};
     for (const json &method : list(settings, "classes"))
