--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,6 +26,12 @@
 constexpr int kOnDivergences = 1; // at most so many of them diverging
 constexpr double kOnShare = 0.003; // and so much of a large sample: machines fail a little anyway
 constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
+constexpr double kMethodFails = 0.5, kFewPicks = 10; // share looked for; picks of prior belief
+constexpr double kLeastFails = 0.02; // of any method, by chance
+constexpr double kMethodProof = 6, kMethodDoubt = 1; // log odds: back; no vote on
+constexpr double kFailDoubt = 0.5; // of the bars for failures: no vote on
+constexpr double kHostsFail = 0.15; // that hosts in trouble may fail where none of the earlier build tell
+constexpr double kOnPooled = 8; // and before another one from stage two on
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
@@ -45,7 +51,8 @@
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
 constexpr double kLoadRise = 1.5, kFailRise = 15; // of all latencies: powers of load, for a failure share
 constexpr Ticks kWatch = 100000; // after a release too
-constexpr Ticks kTellWait = 10000, kTellEach = 300; // between words to peers, and more for each of them
+constexpr Ticks kTellRound = 10000; // in which peers hear of each other's picks
+constexpr int kCollectors = 2; // peers that sum up a round: one may be dead
 
 constexpr int kFewRouters = 3; // with more, traffic is not spread evenly enough to be known
 constexpr double kFuller = 1.5; // cost of the trial's best host over the earlier one's: clearly fuller
@@ -103,7 +110,9 @@
             const auto kind = kind_excess.find(host.entry.kind);
             host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
-            if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
+            // Many routers bound what each cold host gets by chance: their draws need not allow for it too.
+            const double sound_part = terms.instances > kFewRouters ? host.weight / warmth(host) : host.weight;
+            if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += sound_part;
         }
         fill_pools(now - kReportAge, kRingPoints, kPoolRate, kLoadRate);
     }
@@ -137,7 +146,7 @@
         beat_at = now + kBeat;
         pools_due = true;
         count_traffic(kTrafficRate);
-        forget_evidence(now - kEvidenceAge);
+        forget_evidence(now - kEvidenceAge, kReleasePicks);
         forget_flows();
         while (allowed.size() > kMostAllowed) allowed.erase(allowed.begin());
         measure_fleet(kColdSkip);
@@ -441,7 +450,8 @@
             const auto stage = std::min<std::size_t>(known.stage, terms.rollout.places.size() - 1);
             share = std::min(terms.rollout.places[stage], trial_part());
             // A method with an effect starts at a trickle: a build that fails it alone shows in no pair.
-            if (first > 1) share *= std::min(1.0, (build.proven[method] + 3) / 15.0);
+            const double proven = build.proven[method] + (method < int(shown.size()) ? shown[method].ok() : 0);
+            if (first > 1) share *= std::min(1.0, (proven + 3) / 15.0);
         }
         build.range[method] = std::max(build.range[method], share);
         return terms.rollout.keys_stay ? build.range[method] : share;
@@ -606,8 +616,7 @@
     // What all routers saw: the platform's tallies, or else what peers told. Stops a build that no router
     // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
-        const Word own = own_word(now - kEvidenceAge);
-        Evidence told = compare_all(now - 5 * tell_wait() / 2, own, kBackPairs, kBeat);
+        Evidence told = compare_all(pool(), kBackPairs, kBeat);
         if (told.timed < kBackPairs || limit > 0) told.slow = 0;
         // Tallies count picks that no host took as failures; own picks tell how many those are.
         if (!tallies.empty()) told.usual += of(known.build).tried.share();
@@ -616,13 +625,32 @@
         return told;
     }
 
-    // Every peer hears every word: the more there are the fewer words each can afford.
-    Ticks tell_wait() const { return kTellWait + kTellEach * terms.instances; }
+    // Where routers are many each tells its word to a few, drawn for all alike and anew each round, and these
+    // tell the sum to all. Stops words from costing the square of the routers, or from coming a stage late.
+    bool few_peers() const { return terms.instances <= 2 * kCollectors || terms.ordinal < 0; }
+    int collector(Ticks round, int which) const {
+        const auto salt = (std::uint64_t(known.build) << 32) + (known.stage << 24) + round * kCollectors + which;
+        return static_cast<int>(mix("", salt) % terms.instances);
+    }
+    Word pool() { return pooled(now - 5 * kTellRound / 2, own_word(now - kEvidenceAge)); }
 
     Decision tell() {
-        if (!terms.peers || terms.instances < 2 || now < tell_at || !(trial_runs() || fresh())) return {};
-        tell_at = now + tell_wait();
-        return {.act = Act::tell, .text = own_word(now - kEvidenceAge).pack()};
+        if (!terms.peers || terms.instances < 2 || !(trial_runs() || fresh())) return {};
+        const Ticks round = (now - stage_at) / kTellRound;
+        if (round != std::exchange(tell_round, round)) {
+            tell_left = few_peers() ? 1 : kCollectors;
+            tell_at = now + static_cast<Ticks>(kTellRound / 2 * rng.unit());
+            for (int which = 0; which < (few_peers() ? 0 : kCollectors); ++which)
+                if (collector(round - 1, which) == terms.ordinal)
+                    return {.act = Act::tell, .text = pool().pack()};
+        }
+        while (now >= tell_at && tell_left > 0) {
+            const int peer = few_peers() ? -1 : collector(round, tell_left - 1);
+            --tell_left;
+            if (peer != terms.ordinal || peer < 0)
+                return {.act = Act::tell, .text = own_word(now - kEvidenceAge).pack(), .peer = peer};
+        }
+        return {};
     }
 
     bool fresh() const { return watching() && released_at >= 0 && now - released_at < kWatch; }
@@ -686,15 +714,34 @@
                told.answers.picks * (bad_rate - usual_rate);
     }
 
+    // Log odds that one method alone fails by the build, set against what the earlier build fails of it, and
+    // the trial of the others: its hosts' troubles strike all. Stops a build that fails a rare method from
+    // being released, or from doing harm until that method has a sample of its own.
+    double method_odds(const Evidence &seen) const {
+        double most = 0;
+        for (std::size_t i = 0; i < seen.by_method.size() && i < seen.before_by.size(); ++i) {
+            const Count &one = seen.by_method[i], &before = seen.before_by[i];
+            const double beside = (before.failed + kFewPicks * seen.usual) / (before.picks + kFewPicks);
+            const double others = (seen.all.failed - one.failed + kLeastFails * kFewPicks) /
+                                  (seen.all.picks - one.picks + kFewPicks);
+            const double chance = std::min(kMethodFails, std::max({beside, others, kLeastFails}));
+            const double odds = one.failed * std::log(kMethodFails / chance) +
+                                (one.picks - one.failed) * std::log((1 - kMethodFails) / (1 - chance));
+            most = std::max(most, odds);
+        }
+        return most;
+    }
+
     // The bar falls as the sample grows, and rises where the earlier build fails: trouble strikes hosts, few
     // unevenly. Stops a build that fails a tenth of its picks from passing under the first sample's bar.
-    bool fails_much(const Evidence &seen) const {
+    bool fails_much(const Evidence &seen, double part = 1) const {
         const auto much = [&](const Count &count, int least, double share) {
             const double picks = std::max<double>(least, count.picks);
             const double uneven = kUneven * std::sqrt(seen.usual * (1 / hosts_there() + 1 / picks));
-            const double bar = std::max(kLeastShare, share * least / picks) + seen.usual + uneven;
-            return count.picks >= least && count.failed >= std::min<double>(least, kBackDivergences) &&
-                   count.failed > bar * count.picks;
+            const double unseen = seen.alone * kHostsFail;
+            const double bar = std::max(kLeastShare, share * least / picks) + seen.usual + uneven + unseen;
+            return count.picks >= least * part && count.failed > bar * count.picks * part &&
+                   count.failed >= std::min<double>(least, kBackDivergences) * part;
         };
         return much(seen.all, kBackPairs, kBackShare) ||
                std::any_of(seen.by_method.begin(), seen.by_method.end(),
@@ -709,11 +756,10 @@
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
         const double bar = std::log(kSlowRatio) + explained;
-        const double rise = told.rise / std::max(1.0, told.witnesses);
         const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
         const bool open_case = at_issue && telling && tallies.empty() && !calm.limited;
-        lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
-        return lasts(open_case && rise > bar, shared_since, kSlowFor);
+        lasts(open_case && told.rise > bar * kSharedDoubt, suspect_since, kSlowFor);
+        return lasts(open_case && told.rise > bar, shared_since, kSlowFor);
     }
 
     Verdict judgement() {
@@ -721,9 +767,14 @@
         const double odds = flag_odds(told);
         if (odds > kFlagProof + std::log(terms.instances)) return back("flags", seen, odds);
         const bool pooled = !tallies.empty() || (told.routers > 1 && told.routers * 2 > terms.instances);
+        const bool many = terms.instances > kFewRouters;
         const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
         const bool sees = fails_much(seen) && !strikes_few(seen);
         const bool failing = sees || (enough && fails_much(told));
+        if (trial_runs()) shown = told.by_method;
+        const double odds_own = method_odds(seen) - std::log(terms.instances), odds_all = method_odds(told);
+        if (trial_runs() && many && std::max(odds_own, pooled ? odds_all : 0) > kMethodProof)
+            return back("one method", odds_own > odds_all ? seen : told, std::max(odds_own, odds_all));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
         const bool lone = trial_runs() && pools[1].hosts.size() == 1;
         const bool waited = now - stage_at > kLoneFor;
@@ -749,8 +800,9 @@
         if (last && std::any_of(pools[1].hosts.begin(), pools[1].hosts.end(), cold)) return Verdict::none;
         // Nor on the word of a few routers, each of which saw little, where the figures of all lack or are in
         // doubt: the fewer of them must agree, the more these must hold.
-        const double needed = alone() * (last ? kReleasePicks : known.stage > 0 ? kOnPairs : 0);
-        const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt);
+        const double needed = alone() * (last ? kReleasePicks : known.stage > 0 ? kOnPooled : 0);
+        const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt) ||
+                           (many && pooled && (odds_all > kMethodDoubt || fails_much(told, kFailDoubt)));
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.all.picks;
         if (seen.all.failed > borne) return Verdict::none;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -50,6 +50,7 @@
 // What the deployment tells an instance when it starts.
 struct Terms {
     int instances;
+    int ordinal = -1; // its number among them; below 0: not told, and it hears and tells no peer by number
     bool list_by_asking;
     bool may_cut;
     bool second_copies;
@@ -124,7 +125,8 @@
     int build = 0;
     int stage = 0;
     Verdict verdict = Verdict::none;
-    std::string text{}; // log line; tell: the bytes, for every peer
+    std::string text{}; // log line; tell: the bytes
+    int peer = -1; // tell: its number; below 0: every peer
 };
 
 class Router {
--- a/src/simhost/writer.cpp
+++ b/src/simhost/writer.cpp
@@ -34,7 +34,7 @@
                 {"image", d.build},
                 {"stage", d.stage},
                 {"reason", static_cast<int>(d.verdict)}};
-    case Act::tell: return {{"cmd", "PUBLISH"}, {"who", who}, {"addressee", -1}, {"blob", hex(d.text)}};
+    case Act::tell: return {{"cmd", "PUBLISH"}, {"who", who}, {"addressee", d.peer}, {"blob", hex(d.text)}};
     case Act::watch_list: return {{"cmd", "LISTEN"}, {"who", who}, {"want", true}};
     case Act::wake:
         return {{"cmd", "TIMER"}, {"who", who}, {"instant", seconds(d.span)}, {"keyBack", "wake"}};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -143,7 +143,8 @@
 
 struct Evidence {
     Count all, stage, before; // before: the earlier build's
-    std::vector<Count> by_method;
+    std::vector<Count> by_method, before_by; // before_by: the earlier build's
+    double alone = 0; // share of its picks in periods that tell too little of the earlier build
     std::map<int, Count> by_host;
     std::vector<double> medians; // of hosts: log latency over the earlier hosts'
     double timed = 0; // picks that the latency stands on
@@ -154,7 +155,7 @@
     double routers = 0; // heard, this one too
     double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // theirs together, now and when the trial began
-    double rise = 0; // of their log latencies, summed
+    double rise = 0; // of their log latencies, the mean
 };
 
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
@@ -196,8 +197,10 @@
     std::map<int, Build> builds;
     std::deque<Sample> earlier; // the earlier build's picks of late
     std::deque<std::pair<Ticks, Tally>> tallies;
-    std::map<int, Word> words; // by peer, the last one
-    Ticks tell_at = 0;
+    std::vector<Count> shown; // by method: the trial's picks that all routers heard of saw
+    std::map<int, Word> words; // by peer, the last one of its own; by its complement, the last sum
+    Ticks tell_at = 0, tell_round = -1; // rounds are counted from the stage's begin
+    int tell_left = 0; // peers to tell in this round
     std::vector<double> usual; // by method: log latency at the earlier build, still while one is on trial
     std::vector<int> usual_count;
     std::map<int, double> kind_excess;
@@ -302,9 +305,10 @@
 
     void heard(int peer, const std::string &bytes) override {
         std::optional<Word> word = Word::unpack(bytes, terms.methods.size());
-        if (!word) return;
+        if (!word || peer < 0 || peer >= terms.instances || peer == terms.ordinal) return;
+        if (word->routers > terms.instances) return;
         word->at = now;
-        words[peer] = std::move(*word);
+        words[word->routers > 1 ? ~peer : peer] = std::move(*word);
     }
 
     void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
@@ -380,6 +384,7 @@
             if (trial_runs() && told.phase == Phase::released && !other) released_at = now;
             if (other || (told.phase != known.phase && told.phase != Phase::released)) {
                 calm = lately;
+                shown.clear();
                 yielding = 0;
                 suspect_since = slow_since = struck_since = shared_since = -1;
             }
@@ -475,6 +480,8 @@
                      double calm_excess) const {
         Evidence seen;
         seen.by_method.resize(terms.methods.size());
+        seen.before_by.resize(terms.methods.size());
+        for (const Sample &sample : earlier) seen.before_by[sample.method].add(1, sample.failed);
         std::vector<std::vector<double>> beside(terms.methods.size());
         for (const Sample &sample : earlier)
             if (sample.timed && sample.at > of_late) beside[sample.method].push_back(sample.excess);
@@ -502,8 +509,11 @@
         Word word;
         word.build = known.build;
         word.traffic = lately.traffic;
-        word.calm = calm.traffic;
-        word.rise = lately.better - calm.better;
+        if (calm.traffic > 0) { // else it started since and knows no calm
+            word.witnesses = 1;
+            word.calm = calm.traffic;
+            word.rise = lately.better - calm.better;
+        }
         word.trial.resize(terms.methods.size());
         word.before.resize(terms.methods.size());
         const auto add = [&](std::vector<Count> &to, const Sample &sample) {
@@ -518,24 +528,29 @@
         return word;
     }
 
-    // What all routers saw of the trial's build beside those before it, as tallied or else as peers told
-    // since then; latency by method, from so many picks on. Tallies that end so far apart are of two periods.
-    Evidence compare_all(Ticks told_since, const Word &own, double least, Ticks apart) const {
+    // The own word and what peers told of themselves since then; or one's sum of more of them.
+    Word pooled(Ticks told_since, Word own) const {
+        const Word *sum = nullptr;
+        for (const auto &[peer, word] : words) {
+            if (word.build != known.build || word.at < told_since) continue;
+            if (peer >= 0)
+                own.add(word);
+            else if (!sum || word.routers > sum->routers)
+                sum = &word;
+        }
+        return sum && sum->routers > own.routers ? *sum : own;
+    }
+
+    // What all routers saw of the trial's build beside those before it, as tallied or else as peers told;
+    // latency by method, from so many picks on. Tallies that end so far apart are of two periods.
+    Evidence compare_all(const Word &word, double least, Ticks apart) const {
         Evidence told;
-        std::vector<Count> before(terms.methods.size());
-        told.by_method.resize(terms.methods.size());
-        const auto add = [&](const Word &word) {
-            for (std::size_t i = 0; i < before.size(); ++i)
-                told.by_method[i].add(word.trial[i]), before[i].add(word.before[i]);
-            told.answers.add(word.answers);
-            ++told.routers;
-            if (word.calm <= 0) return; // started since: it knows no calm
-            told.traffic += word.traffic, told.calm += word.calm;
-            told.rise += word.rise, ++told.witnesses;
-        };
-        add(own);
-        for (const auto &[peer, word] : words)
-            if (word.build == known.build && word.at >= told_since) add(word);
+        std::vector<Count> before = word.before;
+        told.by_method = word.trial;
+        told.answers = word.answers;
+        told.routers = word.routers;
+        told.traffic = word.traffic, told.calm = word.calm;
+        told.rise = word.rise, told.witnesses = word.witnesses;
         if (!tallies.empty()) told.by_method.assign(before.size(), {}), before.assign(before.size(), {});
         std::vector<std::array<Count, 2>> periods; // the earlier builds' and the trial's
         Ticks ended = -1;
@@ -559,12 +574,15 @@
         }
         told.usual = told.before.share();
         // What strikes hosts of either build strikes most of a growing trial's picks, and few of the others'.
-        double usual = 0, beside = told.usual;
+        double usual = 0, beside = told.usual, alone = 0;
         for (const auto &[others, trial] : periods) {
             if (others.picks >= least) beside = others.share();
+            if (others.picks < least) alone += trial.picks;
             usual += trial.picks * beside;
         }
         if (told.all.picks > 0 && !periods.empty()) told.usual = usual / told.all.picks;
+        if (told.all.picks > 0) told.alone = alone / told.all.picks;
+        told.before_by = before;
         told.slow /= std::max(1.0, told.timed);
         return told;
     }
@@ -629,9 +647,16 @@
         forget(answered, now - 10000);
     }
 
-    void forget_evidence(Ticks before) {
+    // Of the tallies older ones stay while the rest hold fewer picks of the trial than wanted.
+    void forget_evidence(Ticks before, double wanted) {
         while (!earlier.empty() && earlier.front().at < before) earlier.pop_front();
-        while (!tallies.empty() && tallies.front().first < before) tallies.pop_front();
+        double held = 0;
+        for (const auto &[at, row] : tallies) held += row.build == known.build ? row.picks : 0;
+        while (!tallies.empty() && tallies.front().first < before) {
+            const Tally &row = tallies.front().second;
+            if (row.build == known.build && (held -= row.picks) < wanted) break;
+            tallies.pop_front();
+        }
     }
 
     Count count_earlier() const {
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -53,6 +53,7 @@
     const json &allowed = need(profile, "permissions");
     const json &rules = need(profile, "rules");
     terms.instances = std::max(1, whole(profile, "instances"));
+    if (has(profile, "ordinal")) terms.ordinal = place(profile, "ordinal", terms.instances);
     terms.list_by_asking = word<bool>(profile, "membershipMode", {{"push", false}, {"ask", true}});
     terms.may_cut = flag(allowed, "cancel");
     terms.peers = flag(allowed, "peers");
--- a/src/word.hpp
+++ b/src/word.hpp
@@ -14,6 +14,7 @@
     double failed = 0;
     double timed = 0; // those that the latency stands on
     double pace = 0; // their log latencies, summed
+    double ok() const { return picks - failed; }
     double share() const { return picks > 0 ? failed / picks : 0; }
     double mean_pace() const { return timed > 0 ? pace / timed : 0; }
     void add(double more, double bad) { picks += more, failed += bad; }
@@ -27,12 +28,26 @@
 struct Word {
     Ticks at = 0; // when it came
     int build = 0;
+    double routers = 1; // whose figures it sums
+    double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // first tries a second: now and when the trial began
-    double rise = 0; // log latency of the better hosts over that when it began
+    double rise = 0; // log latency of the better hosts over that when it began; of the witnesses, the mean
     Count answers; // passed on from the build; failed: found wrong by clients
     std::vector<Count> trial, before; // by method
 
-    static constexpr char kVersion = 1;
+    // Of other routers, on the same build and with as many methods.
+    void add(const Word &other) {
+        routers += other.routers;
+        if (const double seen = witnesses + other.witnesses; seen > 0)
+            rise = (rise * witnesses + other.rise * other.witnesses) / seen;
+        witnesses += other.witnesses;
+        traffic += other.traffic, calm += other.calm;
+        answers.add(other.answers);
+        for (std::size_t i = 0; i < trial.size(); ++i)
+            trial[i].add(other.trial[i]), before[i].add(other.before[i]);
+    }
+
+    static constexpr char kVersion = 2;
     static constexpr std::size_t kMost = 256; // bytes that peers take
     static constexpr double kScale = 32; // steps of a log latency
 
@@ -44,7 +59,8 @@
             for (; width-- > 0; whole >>= 8) bytes += static_cast<char>(whole & 255);
         };
         const auto put_log = [&](double value) { put(value * kScale + 128, 1); };
-        put(build, 2), put(traffic * 10, 2), put(calm * 10, 2), put_log(rise);
+        put(build, 2), put(routers, 2), put(witnesses, 2);
+        put(traffic * 10, 3), put(calm * 10, 3), put_log(rise);
         put(answers.picks, 2), put(answers.failed, 1);
         for (const auto *side : {&trial, &before})
             for (const Count &count : *side) {
@@ -56,7 +72,7 @@
 
     // Nothing where the bytes are not of this version or not of so many methods.
     static std::optional<Word> unpack(const std::string &bytes, std::size_t methods) {
-        if (bytes.size() != 11 + methods * 14 || bytes[0] != kVersion) return std::nullopt;
+        if (bytes.size() != 17 + methods * 14 || bytes[0] != kVersion) return std::nullopt;
         std::size_t at = 1;
         const auto take = [&](int width) {
             unsigned whole = 0;
@@ -66,8 +82,10 @@
         const auto take_log = [&] { return (take(1) - 128) / kScale; };
         Word word;
         word.build = static_cast<int>(take(2));
-        word.traffic = take(2) / 10;
-        word.calm = take(2) / 10;
+        word.routers = std::max(1.0, take(2));
+        word.witnesses = std::min(word.routers, take(2));
+        word.traffic = take(3) / 10;
+        word.calm = take(3) / 10;
         word.rise = take_log();
         word.answers.picks = take(2);
         word.answers.failed = take(1);
