--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -16,6 +16,7 @@
 constexpr int kBackPairs = 20, kMethodPairs = 6; // least samples for a vote back: over all, of one method
 constexpr double kBackShare = 0.20, kMethodShare = 0.35; // their divergence shares beyond the usual
 constexpr double kConcentrated = 0.8; // of the failures on a third of the trial's hosts: theirs
+constexpr double kHeardWell = 2; // outcomes of a host, halving as failures do
 constexpr double kBlind = 0.02, kBlindDoubt = 0.1; // chances under which trouble is no blind one, or in doubt
 constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
 constexpr Ticks kLoneFor = 100000; // in stage one on one host, whose failures may be its own
@@ -211,6 +212,7 @@
         if (served) host.misses = 0;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
+            host.heard = 1 + faded(host.heard, std::exchange(host.heard_at, now));
             host.fails = fails(host) + (failed - fails(host)) * kHostRate;
             host.fails_at = now;
         }
@@ -239,7 +241,9 @@
     }
 
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
-        if (failed && !pick.aged && pick.outcome == Outcome::too_slow) return; // a cold host's slowness
+        // A cold host's slowness; and of many routers one waits in vain now and then, whatever the build.
+        const bool many = terms.instances > kFewRouters;
+        if (failed && (!pick.aged || many) && pick.outcome == Outcome::too_slow) return;
         std::deque<Sample> &samples = of(pick.build).samples;
         const bool timed = pick.aged && usual_count[rpc.from.method] > 0;
         samples.push_back({now, rpc.from.method, pick.host, failed, timed, excess});
@@ -682,6 +686,9 @@
         return chance / std::max(std::sqrt(terms.instances), 1.0 * terms.instances / kFewRouters);
     }
 
+    // Has it answered or failed often enough of late for its figures to be its own? Stops a router of many,
+    // that meets each host now and then, from taking one slow answer for a sick host.
+    bool known_well(const Host &host) const { return faded(host.heard, host.heard_at) >= kHeardWell; }
     bool unwell(const Host &host) const {
         return fails(host) > kAilShare || missing(host) > 1 ||
                host.excess - lately.fleet > std::log(kSlowAil);
@@ -693,7 +700,7 @@
         std::vector<std::pair<Ticks, bool>> trial;
         double struck = 0, all = 0, chance = 1;
         for (const Host &host : hosts) {
-            if (!usable(host) || now - host.entry.started < kColdSkip) continue;
+            if (!usable(host) || now - host.entry.started < kColdSkip || !known_well(host)) continue;
             ++all, struck += unwell(host);
             if (on_trial(host.entry.build)) trial.emplace_back(host.entry.started, unwell(host));
         }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -63,6 +63,8 @@
     double excess = 0; // log of its latency over the usual
     double fails = 0;
     Ticks fails_at = 0;
+    double heard = 0; // its outcomes that tell of it, older ones for less
+    Ticks heard_at = 0;
     int misses = 0; // picks in a row that it failed or took no connection for
     Ticks missed_at = 0;
     Ticks quiet_since = 0;
