--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,7 +32,7 @@
 constexpr double kMethodProof = 6, kMethodDoubt = 1; // log odds: back; no vote on
 constexpr double kFailDoubt = 0.5; // of the bars for failures: no vote on
 constexpr double kHostsFail = 0.15; // that hosts in trouble may fail where none of the earlier build tell
-constexpr double kOnPooled = 8; // and before another one from stage two on
+constexpr double kOnPooled = 4; // and before another one from stage two on
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
@@ -809,7 +809,7 @@
         // doubt: the fewer of them must agree, the more these must hold.
         const double needed = alone() * (last ? kReleasePicks : known.stage > 0 ? kOnPooled : 0);
         const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt) ||
-                           (many && pooled && (odds_all > kMethodDoubt || fails_much(told, kFailDoubt)));
+                           (many && pooled && !waited && (odds_all > kMethodDoubt || fails_much(told, kFailDoubt)));
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.all.picks;
         if (seen.all.failed > borne) return Verdict::none;
