--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,12 +31,13 @@
 constexpr double kLeastFails = 0.02; // of any method, by chance
 constexpr double kMethodProof = 6, kMethodDoubt = 1; // log odds: back; no vote on
 constexpr double kFailDoubt = 0.5; // of the bars for failures: no vote on
-constexpr double kHostsFail = 0.15; // that hosts in trouble may fail where none of the earlier build tell
+constexpr double kHostsFail = 0.25; // that hosts in trouble may fail where none of the earlier build tell
 constexpr double kOnPooled = 4; // and before another one from stage two on
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
 constexpr double kVoteTries = 0.5; // of the time in which each router has a turn, between tries of a vote on
+constexpr double kTalliedRatio = 2.3; // of all tallied picks, over that when the trial began
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
 constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
@@ -758,15 +759,17 @@
     // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
     // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where the
     // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
+    // Tallies tell of all hosts alike, some of them slow by their own fault: there the bar is higher.
     bool slows_all(const Evidence &told) {
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
+        const double rise = tallies.empty() ? told.rise : tallied_rise(now - kEvidenceAge / 2);
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
-        const double bar = std::log(kSlowRatio) + explained;
+        const double bar = std::log(tallies.empty() ? kSlowRatio : kTalliedRatio) + explained;
         const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
-        const bool open_case = at_issue && telling && tallies.empty() && !calm.limited;
-        lasts(open_case && told.rise > bar * kSharedDoubt, suspect_since, kSlowFor);
-        return lasts(open_case && told.rise > bar, shared_since, kSlowFor);
+        const bool open_case = at_issue && (telling || !tallies.empty()) && !calm.limited;
+        lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
+        return lasts(open_case && rise > bar, shared_since, kSlowFor);
     }
 
     Verdict judgement() {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -199,6 +199,7 @@
     std::map<int, Build> builds;
     std::deque<Sample> earlier; // the earlier build's picks of late
     std::deque<std::pair<Ticks, Tally>> tallies;
+    std::vector<Count> calm_pace; // by method: tallied log latency when the trial began
     std::vector<Count> shown; // by method: the trial's picks that all routers heard of saw
     std::map<int, Word> words; // by peer, the last one of its own; by its complement, the last sum
     Ticks tell_at = 0, tell_round = -1; // rounds are counted from the stage's begin
@@ -313,7 +314,25 @@
         words[word->routers > 1 ? ~peer : peer] = std::move(*word);
     }
 
-    void tally(const Tally &row) override { tallies.emplace_back(now - row.age, row); }
+    void tally(const Tally &row) override {
+        tallies.emplace_back(now - row.age, row);
+        if (trial_runs() && known.stage == 0) note_calm(row);
+    }
+    void note_calm(const Tally &row) {
+        if (row.build < known.build && row.method < static_cast<int>(calm_pace.size()))
+            calm_pace[row.method].time(row.picks - row.failed, std::log(std::max(1e-4, row.latency)));
+    }
+    // Log latency of all tallied picks since then over that when the trial began.
+    double tallied_rise(Ticks since) const {
+        double rise = 0, picks = 0;
+        for (const auto &[at, row] : tallies) {
+            if (at < since || row.failed >= row.picks || calm_pace[row.method].timed <= 0) continue;
+            const double ok = row.picks - row.failed;
+            rise += ok * (std::log(std::max(1e-4, row.latency)) - calm_pace[row.method].mean_pace());
+            picks += ok;
+        }
+        return picks > 0 ? rise / picks : 0;
+    }
 
     void arrived(Arrival from) override {
         taken.at(from.method).push_back(now);
@@ -398,6 +417,10 @@
         }
         known = told;
         has_news = true;
+        if (other) {
+            calm_pace.assign(terms.methods.size(), {});
+            for (const auto &[at, row] : tallies) note_calm(row);
+        }
         pools_due = true;
     }
 
