--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -759,14 +759,17 @@
     // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
     // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where the
     // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
-    // Tallies tell of all hosts alike, some of them slow by their own fault: there the bar is higher.
+    // Tallies tell of all hosts alike, some slow by their own fault: there the bar is higher, over what was
+    // there before the trial had traffic, and from the stage on in which it carries much of it.
     bool slows_all(const Evidence &told) {
+        if (known.stage == 0) early_rise = std::max(0.0, tallied_rise(now - kEvidenceAge / 2));
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
-        const double rise = tallies.empty() ? told.rise : tallied_rise(now - kEvidenceAge / 2);
+        const double rise = tallies.empty() ? told.rise : tallied_rise(now - kEvidenceAge / 2) - early_rise;
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
         const double bar = std::log(tallies.empty() ? kSlowRatio : kTalliedRatio) + explained;
-        const bool at_issue = fresh() || (trial_runs() && known.stage > 0);
+        const int first = tallies.empty() ? 1 : 2;
+        const bool at_issue = fresh() || (trial_runs() && known.stage >= first);
         const bool open_case = at_issue && (telling || !tallies.empty()) && !calm.limited;
         lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
         return lasts(open_case && rise > bar, shared_since, kSlowFor);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -200,6 +200,7 @@
     std::deque<Sample> earlier; // the earlier build's picks of late
     std::deque<std::pair<Ticks, Tally>> tallies;
     std::vector<Count> calm_pace; // by method: tallied log latency when the trial began
+    double early_rise = 0; // of tallied log latency over that, in stage one
     std::vector<Count> shown; // by method: the trial's picks that all routers heard of saw
     std::map<int, Word> words; // by peer, the last one of its own; by its complement, the last sum
     Ticks tell_at = 0, tell_round = -1; // rounds are counted from the stage's begin
