Peers' pooled latency tells of a build that slows all; first answers of a method are no measure

Seen: pooled pace started at log 2.5: a router's first answer of a method was set against no usual latency at all (learn). The better quarter of hosts never moved, as most of a router's 60 hosts were never heard of and stood at 0.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -219,7 +219,8 @@
         }
         const bool timed = served || (pick.outcome == Outcome::too_slow && !hurried(rpc, pick));
         const double excess = excess_of(pick, method, size_of(rpc));
-        if (timed && usual_count[method] > 0) host.excess += (excess - host.excess) * kHostRate;
+        const bool against = timed && usual_count[method] > 0; // there is a usual latency to set it against
+        if (against) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
         if (timed) note_lateness(rpc, ratio, kLateSpan, kHostRate);
         if (served && warmth(host) >= 1) warm_served.push_back(now);
@@ -236,7 +237,7 @@
         }
         if (served || diverges(pick.outcome)) breaks += ((pick.outcome == Outcome::cut) - breaks) * kTornRate;
         if (!served && !failed) return;
-        earlier.push_back({now, method, pick.host, failed, timed, excess});
+        earlier.push_back({now, method, pick.host, failed, against, excess});
         if (pick.build == known.build && watching())
             judge(rpc, pick, failed && pick.outcome != Outcome::too_slow, excess);
     }
@@ -762,13 +763,15 @@
     // Tallies tell of all hosts alike, some slow by their own fault: there the bar is higher, over what was
     // there before the trial had traffic, and from the stage on in which it carries much of it.
     bool slows_all(const Evidence &told) {
-        if (known.stage == 0) early_rise = std::max(0.0, tallied_rise(now - kEvidenceAge / 2));
+        const bool many = terms.instances > kFewRouters;
+        const double risen = tallies.empty() ? told.pace : tallied_rise(now - kEvidenceAge / 2);
+        if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, risen);
         const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
-        const double rise = tallies.empty() ? told.rise : tallied_rise(now - kEvidenceAge / 2) - early_rise;
+        const double rise = many ? risen - early_rise : told.rise;
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
-        const double bar = std::log(tallies.empty() ? kSlowRatio : kTalliedRatio) + explained;
-        const int first = tallies.empty() ? 1 : 2;
+        const double bar = std::log(many ? kTalliedRatio : kSlowRatio) + explained;
+        const int first = many ? std::min(2, static_cast<int>(terms.rollout.places.size()) - 1) : 1;
         const bool at_issue = fresh() || (trial_runs() && known.stage >= first);
         const bool open_case = at_issue && (telling || !tallies.empty()) && !calm.limited;
         lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -158,6 +158,7 @@
     double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // theirs together, now and when the trial began
     double rise = 0; // of their log latencies, the mean
+    double pace = 0; // middle method's log latency over the usual, of either build
 };
 
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
@@ -577,6 +578,14 @@
         told.routers = word.routers;
         told.traffic = word.traffic, told.calm = word.calm;
         told.rise = word.rise, told.witnesses = word.witnesses;
+        std::vector<double> paces; // of methods with so many timed picks, of either build
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            Count both = word.before[i];
+            both.add(word.trial[i]);
+            if (both.timed >= least) paces.push_back(both.mean_pace());
+        }
+        std::sort(paces.begin(), paces.end());
+        if (!paces.empty()) told.pace = paces[(paces.size() - 1) / 2];
         if (!tallies.empty()) told.by_method.assign(before.size(), {}), before.assign(before.size(), {});
         std::vector<std::array<Count, 2>> periods; // the earlier builds' and the trial's
         Ticks ended = -1;
