--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -73,6 +73,7 @@
 constexpr double kPoolRate = 0.3, kRateRise = 0.2; // a beat, of the newest: what others hold; a higher rate
 
 constexpr double kTorn = 0.05, kTornRate = 0.004; // earlier picks broken: the network's doing; of the newest
+constexpr double kBarredRate = 0.2, kUnlinked = 4; // of the newest; cost of a host without a connection
 constexpr double kForgive = 30000.0, kMissed = 3; // failures halve in this time; cost of a host for each miss
 constexpr double kSilence = 4.0; // times the usual latency without any answer: silent
 constexpr Ticks kReportAge = 15000; // older load reports are not used
@@ -87,6 +88,8 @@
 constexpr double kLookLatency = 3.0; // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
 constexpr Ticks kLateSpan = 5000; // over which answers tell how late they come
+constexpr double kSparse = 0.5; // weight of the newest answer at most, of a router that has few
+constexpr double kCalmPart = 0.6, kAskPart = 0.15; // of its lateness another method has; asked all the same
 constexpr double kLateMost = 1.5; // a soft deadline missed by more says no more
 constexpr double kHopeful = 0.8, kHopeless = 1.6, kCrowded = 0.4; // wait over soft deadline: all, none, once
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
@@ -210,6 +213,9 @@
         const bool served = pick.outcome == Outcome::ok, failed = speaks_against(rpc, pick);
         const bool refused = pick.outcome == Outcome::no_route || pick.outcome == Outcome::no_room;
         if (failed || refused) ++host.misses, host.missed_at = now;
+        const bool unmet = pick.outcome == Outcome::no_route;
+        if (unmet || (pick.fresh && served)) barred += (unmet - barred) * kBarredRate;
+        host.linked_until = unmet || pick.outcome == Outcome::cut ? -1 : now + terms.keepalive;
         if (served) host.misses = 0;
         if (pick.outcome != Outcome::undone && pick.outcome != Outcome::too_slow) host.quiet_since = now;
         if (served || failed) {
@@ -222,7 +228,7 @@
         const bool against = timed && usual_count[method] > 0; // there is a usual latency to set it against
         if (against) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
-        if (timed) note_lateness(rpc, ratio, kLateSpan, kHostRate);
+        if (timed) note_lateness(rpc, ratio, kLateSpan, terms.instances > kFewRouters ? kSparse : kHostRate);
         if (served && warmth(host) >= 1) warm_served.push_back(now);
         of(pick.build).proven[method] += served;
         of(pick.build).tried.add(1, proves_unrun(pick.outcome));
@@ -380,6 +386,9 @@
         cost *= 1 + missing(host);
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
+        // Where new connections are hard to have, those that stand carry the picks. Stops a fleet from using up
+        // what few its hosts accept, and RPCs from waiting for handshakes that time out.
+        if (terms.instances > kFewRouters && host.linked_until < now) cost *= 1 + kUnlinked * barred;
         if (watching() && host.entry.build < known.build) cost *= kOlderCost;
         return cost * (0.9 + 0.2 * rng.unit());
     }
@@ -469,7 +478,7 @@
         const Method &method = method_of(rpc);
         const bool aged = host.entry.started <= 0 || now - host.entry.started > kColdSkip;
         budget -= !rpc.picks.empty() && rpc.picks.back().outcome != Outcome::no_route;
-        rpc.picks.push_back({target, host.entry.build, now, trial, copy, aged});
+        rpc.picks.push_back({target, host.entry.build, now, trial, copy, aged, host.linked_until < now});
         if (host.open++ == 0) host.quiet_since = now;
         ++open;
         host.pushed.push_back(now);
@@ -504,12 +513,22 @@
 
     bool crowded(double part) const { return open >= kFirstRoom * terms.room * part; }
 
+    // A method that comes past its soft deadline at every host while others do not is worth next to nothing, and
+    // holds the place of those: most of it is pushed back, the rest tells when that is over.
+    bool past_hope(const Rpc &rpc) {
+        const auto &[late, seen] = lateness[rpc.from.method];
+        double least = late;
+        for (std::size_t i = 0; i < terms.methods.size(); ++i)
+            if (lateness[i].second > now - kLateSpan * 4) least = std::min(least, lateness[i].first);
+        return late > 1 && seen > now - kLateSpan * 4 && least < late * kCalmPart && rng.unit() > kAskPart;
+    }
+
     // Pushback, least utility for its work first and tenants past their quota before all: under the limit,
     // for want of room, or by the wait to expect, which is what is pending over what was answered a second
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return crowded(part) || (limit > 0 && open >= limit * part) ||
+        return crowded(part) || past_hope(rpc) || (limit > 0 && open >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -60,6 +60,7 @@
     int max_picks;
     int room = 1 << 30; // picks that this instance can hold open at once: without bound, unless told
     Ticks max_pause;
+    Ticks keepalive = 0; // for which an idle connection to a host stands; 0: not told
     Ticks cold_for;
     Ticks overload_for;
     double cold_share;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -37,6 +37,7 @@
     bool on_trial;
     bool copy;
     bool aged; // its host was past the cold skip
+    bool fresh; // it needed a connection of its own
     bool open = true;
     bool cut = false;
     Outcome outcome = Outcome::ok;
@@ -68,6 +69,7 @@
     int misses = 0; // picks in a row that it failed or took no connection for
     Ticks missed_at = 0;
     Ticks quiet_since = 0;
+    Ticks linked_until = -1; // a connection to it stands, unless it has closed it early
     double weight = 0; // what it can do beside the others
     double others = 0; // RPCs of other routers there, as reported
     Ticks others_at = -1; // never: below 0
@@ -239,6 +241,7 @@
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
     Ticks proven_since = -1; // the vote that would release the build has been due
     double earlier_fails = 0;
+    double barred = 0; // share of new connections that were not had, of late
     double breaks = 0; // share of the earlier builds' picks whose connection broke, of late
     News known{};
     bool has_news = false;
