--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -88,11 +88,12 @@
 constexpr double kLookLatency = 3.0; // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
 constexpr Ticks kLateSpan = 5000; // over which answers tell how late they come
-constexpr double kSparse = 0.5; // weight of the newest answer at most, of a router that has few
+constexpr double kSparse = 0.3; // weight of the newest answer at most, of a router that has few
 constexpr double kCalmPart = 0.6, kAskPart = 0.15; // of its lateness another method has; asked all the same
 constexpr double kLateMost = 1.5; // a soft deadline missed by more says no more
 constexpr double kHopeful = 0.8, kHopeless = 1.6, kCrowded = 0.4; // wait over soft deadline: all, none, once
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
+constexpr double kLeastLimit = 0.6; // of open picks
 constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
 constexpr double kFirstRoom = 0.5, kLeastWorth = 0.8, kOverShare = 0.5; // of room: first, least, past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
@@ -182,9 +183,11 @@
         for (const auto &[mean, seen] : lateness)
             if (seen > now - kLateSpan * 4) figures.push_back(mean);
         const double late = figures.empty() ? 0 : *std::min_element(figures.begin(), figures.end());
+        // A router of many has few open: there the limit goes on under one, as a chance to have one.
+        const double least = terms.instances > kFewRouters ? kLeastLimit : 4;
         if (late > kLateHigh) {
             if (limit <= 0) log("limit on: open %.0f lateness %.2f of %.2f", open, late, kLateHigh);
-            limit = std::max(4.0, (limit > 0 ? std::min<double>(limit, open) : open) * kCutLimit);
+            limit = std::max(least, (limit > 0 ? std::min<double>(limit, open) : open) * kCutLimit);
         } else if (limit > 0 && late < kLateLow) {
             if (open > limit * 0.7) limit *= kRaiseLimit;
             if (open > limit * 0.3 || late > kLateLow * 0.6) return;
@@ -528,7 +531,7 @@
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return crowded(part) || past_hope(rpc) || (limit > 0 && open >= limit * part) ||
+        return crowded(part) || past_hope(rpc) || (limit > 0 && open + rng.unit() * (terms.instances > kFewRouters) >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
