--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -37,7 +37,8 @@
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
 constexpr double kVoteTries = 0.5; // of the time in which each router has a turn, between tries of a vote on
-constexpr double kTalliedRatio = 2.3; // of all tallied picks, over that when the trial began
+constexpr double kTalliedRatio = 2.3; // of all routers' picks, over that when the trial began
+constexpr int kMuchFrom = 2; // the stage from which a trial carries much
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
 constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
@@ -108,6 +109,7 @@
   public:
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
+    bool many() const { return terms.instances > kFewRouters; }
     double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     void weigh_hosts() {
         if (!pools_due) return;
@@ -117,7 +119,7 @@
             host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
             // Many routers bound what each cold host gets by chance: their draws need not allow for it too.
-            const double sound_part = terms.instances > kFewRouters ? host.weight / warmth(host) : host.weight;
+            const double sound_part = many() ? host.weight / warmth(host) : host.weight;
             if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += sound_part;
         }
         fill_pools(now - kReportAge, kRingPoints, kPoolRate, kLoadRate);
@@ -179,12 +181,9 @@
     // whatever its cause: bursts, lost hosts, retries, slow builds. May shed too much when one host is slow.
     // A jam makes every method and every tenant late: what is late alone waits for a cause of its own.
     void bend_limit() {
-        std::vector<double> figures;
-        for (const auto &[mean, seen] : lateness)
-            if (seen > now - kLateSpan * 4) figures.push_back(mean);
-        const double late = figures.empty() ? 0 : *std::min_element(figures.begin(), figures.end());
+        const double late = least_late(lateness.size(), now - kLateSpan * 4);
         // A router of many has few open: there the limit goes on under one, as a chance to have one.
-        const double least = terms.instances > kFewRouters ? kLeastLimit : 4;
+        const double least = many() ? kLeastLimit : 4;
         if (late > kLateHigh) {
             if (limit <= 0) log("limit on: open %.0f lateness %.2f of %.2f", open, late, kLateHigh);
             limit = std::max(least, (limit > 0 ? std::min<double>(limit, open) : open) * kCutLimit);
@@ -231,7 +230,7 @@
         const bool against = timed && usual_count[method] > 0; // there is a usual latency to set it against
         if (against) host.excess += (excess - host.excess) * kHostRate;
         const double ratio = std::min(kLateMost, double(pick.took) / method_of(rpc).soft_deadline);
-        if (timed) note_lateness(rpc, ratio, kLateSpan, terms.instances > kFewRouters ? kSparse : kHostRate);
+        if (timed) note_lateness(rpc, ratio, kLateSpan, many() ? kSparse : kHostRate);
         if (served && warmth(host) >= 1) warm_served.push_back(now);
         of(pick.build).proven[method] += served;
         of(pick.build).tried.add(1, proves_unrun(pick.outcome));
@@ -253,8 +252,7 @@
 
     void judge(const Rpc &rpc, const Pick &pick, bool failed, double excess) {
         // A cold host's slowness; and of many routers one waits in vain now and then, whatever the build.
-        const bool many = terms.instances > kFewRouters;
-        if (failed && (!pick.aged || many) && pick.outcome == Outcome::too_slow) return;
+        if (failed && (!pick.aged || many()) && pick.outcome == Outcome::too_slow) return;
         std::deque<Sample> &samples = of(pick.build).samples;
         const bool timed = pick.aged && usual_count[rpc.from.method] > 0;
         samples.push_back({now, rpc.from.method, pick.host, failed, timed, excess});
@@ -389,9 +387,9 @@
         cost *= 1 + missing(host);
         cost /= std::pow(sound, method_of(rpc).repeat == Repeat::idempotent ? 2 : 4);
         if (silent(host, rpc.from.method)) cost *= 50;
-        // Where new connections are hard to have, those that stand carry the picks. Stops a fleet from using up
-        // what few its hosts accept, and RPCs from waiting for handshakes that time out.
-        if (terms.instances > kFewRouters && host.linked_until < now) cost *= 1 + kUnlinked * barred;
+        // Where new connections are hard to have, those that stand carry the picks. Stops a fleet from using
+        // up what few its hosts accept, and RPCs from waiting for handshakes that time out.
+        if (many() && host.linked_until < now) cost *= 1 + kUnlinked * barred;
         if (watching() && host.entry.build < known.build) cost *= kOlderCost;
         return cost * (0.9 + 0.2 * rng.unit());
     }
@@ -400,7 +398,7 @@
     // own; others step in where these drain or fail. Stops a fleet of routers from opening a connection a
     // pick, and each from knowing nothing of any host.
     std::size_t reach(const Pool &pool) const {
-        if (terms.instances <= kFewRouters) return pool.hosts.size();
+        if (!many()) return pool.hosts.size();
         const double part = pool.total() / std::max(1e-9, pools[0].total() + pools[1].total());
         const double heard = traffic * kHeardEach / 10000 * part;
         return std::min(pool.hosts.size(), std::max(kLeastReach, static_cast<std::size_t>(heard)));
@@ -410,7 +408,7 @@
     // hears of: one for all of them, each seeing little of its load, would be swamped.
     int favourite_of(const Rpc &rpc, const Pool &pool) const {
         if (!terms.rollout.warm_keys || rpc.from.key.empty()) return -1;
-        if (terms.instances <= kFewRouters) return pool.keeper(mix(rpc.from.key, 3));
+        if (!many()) return pool.keeper(mix(rpc.from.key, 3));
         int found = -1;
         std::uint64_t most = 0;
         for (std::size_t i = 0; i < reach(pool); ++i) {
@@ -468,7 +466,8 @@
             const auto stage = std::min<std::size_t>(known.stage, terms.rollout.places.size() - 1);
             share = std::min(terms.rollout.places[stage], trial_part());
             // A method with an effect starts at a trickle: a build that fails it alone shows in no pair.
-            const double proven = build.proven[method] + (method < int(shown.size()) ? shown[method].ok() : 0);
+            const double proven =
+                build.proven[method] + (method < int(shown.size()) ? shown[method].ok() : 0);
             if (first > 1) share *= std::min(1.0, (proven + 3) / 15.0);
         }
         build.range[method] = std::max(build.range[method], share);
@@ -516,13 +515,11 @@
 
     bool crowded(double part) const { return open >= kFirstRoom * terms.room * part; }
 
-    // A method that comes past its soft deadline at every host while others do not is worth next to nothing, and
-    // holds the place of those: most of it is pushed back, the rest tells when that is over.
+    // A method that comes past its soft deadline at every host while others do not is worth next to nothing,
+    // and holds the place of those: most of it is pushed back, the rest tells when that is over.
     bool past_hope(const Rpc &rpc) {
         const auto &[late, seen] = lateness[rpc.from.method];
-        double least = late;
-        for (std::size_t i = 0; i < terms.methods.size(); ++i)
-            if (lateness[i].second > now - kLateSpan * 4) least = std::min(least, lateness[i].first);
+        const double least = least_late(terms.methods.size(), now - kLateSpan * 4);
         return late > 1 && seen > now - kLateSpan * 4 && least < late * kCalmPart && rng.unit() > kAskPart;
     }
 
@@ -531,7 +528,7 @@
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return crowded(part) || past_hope(rpc) || (limit > 0 && open + rng.unit() * (terms.instances > kFewRouters) >= limit * part) ||
+        return crowded(part) || past_hope(rpc) || (limit > 0 && open + rng.unit() * many() >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
@@ -656,10 +653,6 @@
     // Where routers are many each tells its word to a few, drawn for all alike and anew each round, and these
     // tell the sum to all. Stops words from costing the square of the routers, or from coming a stage late.
     bool few_peers() const { return terms.instances <= 2 * kCollectors || terms.ordinal < 0; }
-    int collector(Ticks round, int which) const {
-        const auto salt = (std::uint64_t(known.build) << 32) + (known.stage << 24) + round * kCollectors + which;
-        return static_cast<int>(mix("", salt) % terms.instances);
-    }
     Word pool() { return pooled(now - 5 * kTellRound / 2, own_word(now - kEvidenceAge)); }
 
     Decision tell() {
@@ -669,11 +662,11 @@
             tell_left = few_peers() ? 1 : kCollectors;
             tell_at = now + static_cast<Ticks>(kTellRound / 2 * rng.unit());
             for (int which = 0; which < (few_peers() ? 0 : kCollectors); ++which)
-                if (collector(round - 1, which) == terms.ordinal)
+                if (drawn_peer((round - 1) * kCollectors + which) == terms.ordinal)
                     return {.act = Act::tell, .text = pool().pack()};
         }
         while (now >= tell_at && tell_left > 0) {
-            const int peer = few_peers() ? -1 : collector(round, tell_left - 1);
+            const int peer = few_peers() ? -1 : drawn_peer(round * kCollectors + tell_left - 1);
             --tell_left;
             if (peer != terms.ordinal || peer < 0)
                 return {.act = Act::tell, .text = own_word(now - kEvidenceAge).pack(), .peer = peer};
@@ -688,20 +681,14 @@
     // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
     // silent host under the trial.
     bool host_explains(const Evidence &seen) const {
-        std::vector<double> hit;
-        for (const auto &[host, count] : seen.by_host) hit.push_back(count.failed);
-        if (hit.size() < 2) return false;
-        std::sort(hit.rbegin(), hit.rend());
-        const auto few = hit.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(1, hit.size() / 3));
-        return std::accumulate(hit.begin(), few, 0.0) > kConcentrated * seen.all.failed;
+        return seen.by_host.size() > 1 && seen.on_worst_third() > kConcentrated * seen.all.failed;
     }
 
     // Of many routers some one meets several bad hosts by chance. Stops it from sending a good build back for
     // all: its own failures speak only where they have struck that many hosts, more of them the more routers.
     bool strikes_few(const Evidence &seen) const {
-        const auto failed = [](const auto &one) { return one.second.failed > 0; };
-        const auto struck = std::count_if(seen.by_host.begin(), seen.by_host.end(), failed);
-        return terms.instances > kFewRouters && struck < kBackDivergences + std::log10(terms.instances) &&
+        const long struck = seen.struck();
+        return many() && struck < kBackDivergences + std::log10(terms.instances) &&
                struck < static_cast<long>(seen.by_host.size());
     }
 
@@ -722,15 +709,13 @@
     // unwell one. Stops builds bad with age or load, which routing hides as it turns from their hosts.
     double blind_chance() const {
         std::vector<std::pair<Ticks, bool>> trial;
-        double struck = 0, all = 0, chance = 1;
+        double struck = 0, all = 0;
         for (const Host &host : hosts) {
             if (!usable(host) || now - host.entry.started < kColdSkip || !known_well(host)) continue;
             ++all, struck += unwell(host);
             if (on_trial(host.entry.build)) trial.emplace_back(host.entry.started, unwell(host));
         }
-        std::sort(trial.begin(), trial.end());
-        for (auto at = trial.begin(); at != trial.end() && at->second; ++at) chance *= struck-- / all--;
-        return chance;
+        return chance_eldest(std::move(trial), struck, all);
     }
 
     // Log odds that complaints, some of them false, come of the build: against the rate that others draw.
@@ -749,18 +734,7 @@
     // the trial of the others: its hosts' troubles strike all. Stops a build that fails a rare method from
     // being released, or from doing harm until that method has a sample of its own.
     double method_odds(const Evidence &seen) const {
-        double most = 0;
-        for (std::size_t i = 0; i < seen.by_method.size() && i < seen.before_by.size(); ++i) {
-            const Count &one = seen.by_method[i], &before = seen.before_by[i];
-            const double beside = (before.failed + kFewPicks * seen.usual) / (before.picks + kFewPicks);
-            const double others = (seen.all.failed - one.failed + kLeastFails * kFewPicks) /
-                                  (seen.all.picks - one.picks + kFewPicks);
-            const double chance = std::min(kMethodFails, std::max({beside, others, kLeastFails}));
-            const double odds = one.failed * std::log(kMethodFails / chance) +
-                                (one.picks - one.failed) * std::log((1 - kMethodFails) / (1 - chance));
-            most = std::max(most, odds);
-        }
-        return most;
+        return seen.method_odds(kMethodFails, kLeastFails, kFewPicks);
     }
 
     // The bar falls as the sample grows, and rises where the earlier build fails: trouble strikes hosts, few
@@ -779,25 +753,20 @@
                            [&](const Count &count) { return much(count, kMethodPairs, kMethodShare); });
     }
 
-    // Even the better hosts slower since the trial began, for neither more first tries nor fewer sound hosts:
-    // the build slows or jams them all. Stops a build whose harm shows at no host of its own. Only where the
-    // fleet's traffic is known, of peers or by being one of few; may blame it for a trouble of every host.
-    // Tallies tell of all hosts alike, some slow by their own fault: there the bar is higher, over what was
-    // there before the trial had traffic, and from the stage on in which it carries much of it.
+    // All picks slower than when the trial began, by more than more first tries or fewer sound hosts explain:
+    // the build slows or jams all hosts. Stops one whose harm shows at none of its own. Some hosts are slow
+    // by their own fault: so the bar is high, over what the first stage had, while the trial carries much.
     bool slows_all(const Evidence &told) {
-        const bool many = terms.instances > kFewRouters;
         const double risen = tallies.empty() ? told.pace : tallied_rise(now - kEvidenceAge / 2);
         if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, risen);
-        const bool telling = terms.instances <= kFewRouters || told.witnesses * 2 > terms.instances;
-        const double rise = many ? risen - early_rise : told.rise;
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
-        const double bar = std::log(many ? kTalliedRatio : kSlowRatio) + explained;
-        const int first = many ? std::min(2, static_cast<int>(terms.rollout.places.size()) - 1) : 1;
-        const bool at_issue = fresh() || (trial_runs() && known.stage >= first);
-        const bool open_case = at_issue && (telling || !tallies.empty()) && !calm.limited;
-        lasts(open_case && rise > bar * kSharedDoubt, suspect_since, kSlowFor);
-        return lasts(open_case && rise > bar, shared_since, kSlowFor);
+        const double bar = std::log(kTalliedRatio) + explained;
+        const bool carries = trial_runs() && (known.stage >= kMuchFrom || in_last_stage());
+        const bool telling = !tallies.empty() || told.witnesses * 2 > terms.instances;
+        const bool open_case = many() && (fresh() || carries) && telling && !calm.limited;
+        lasts(open_case && risen - early_rise > bar * kSharedDoubt, suspect_since, kSlowFor);
+        return lasts(open_case && risen - early_rise > bar, shared_since, kSlowFor);
     }
 
     Verdict judgement() {
@@ -805,13 +774,12 @@
         const double odds = flag_odds(told);
         if (odds > kFlagProof + std::log(terms.instances)) return back("flags", seen, odds);
         const bool pooled = !tallies.empty() || (told.routers > 1 && told.routers * 2 > terms.instances);
-        const bool many = terms.instances > kFewRouters;
         const bool enough = trial_runs() && pooled && told.before.picks >= kBackPairs;
         const bool sees = fails_much(seen) && !strikes_few(seen);
         const bool failing = sees || (enough && fails_much(told));
-        if (trial_runs()) shown = told.by_method;
+        if (trial_runs() && many()) shown = told.by_method;
         const double odds_own = method_odds(seen) - std::log(terms.instances), odds_all = method_odds(told);
-        if (trial_runs() && many && std::max(odds_own, pooled ? odds_all : 0) > kMethodProof)
+        if (trial_runs() && many() && std::max(odds_own, pooled ? odds_all : 0) > kMethodProof)
             return back("one method", odds_own > odds_all ? seen : told, std::max(odds_own, odds_all));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
         const bool lone = trial_runs() && pools[1].hosts.size() == 1;
@@ -820,7 +788,7 @@
         if (failing && !lone && !host_explains(seen)) return back("failures", sees ? seen : told, seen.usual);
         const double blind = trial_runs() ? blind_chance() : 1;
         if (lasts(blind < among_all(kBlind), struck_since, kSlowFor)) return back("its hosts", seen, blind);
-        if (slows_all(told)) return back("slowing all", seen, std::exp(lately.better - calm.better));
+        if (slows_all(told)) return back("slowing all", told, told.pace);
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
         const bool told_slow = enough && told.slow > told.slow_bar;
@@ -839,8 +807,9 @@
         // Nor on the word of a few routers, each of which saw little, where the figures of all lack or are in
         // doubt: the fewer of them must agree, the more these must hold.
         const double needed = alone() * (last ? kReleasePicks : known.stage > 0 ? kOnPooled : 0);
-        const bool doubt = blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt) ||
-                           (many && pooled && !waited && (odds_all > kMethodDoubt || fails_much(told, kFailDoubt)));
+        const bool doubt =
+            blind < kBlindDoubt || (enough && told.slow > told.slow_bar * kSlowDoubt) ||
+            (many() && pooled && !waited && (odds_all > kMethodDoubt || fails_much(told, kFailDoubt)));
         if (doubt || (told.all.picks < needed && !waited)) return Verdict::none;
         const double borne = kOnDivergences + (seen.usual + kOnShare) * seen.all.picks;
         if (seen.all.failed > borne) return Verdict::none;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -156,10 +156,36 @@
     double slow = 0; // log of its latency over the earlier build's
     double slow_bar = 0;
     Count answers; // of all routers heard; failed: found wrong
+
+    double on_worst_third() const { // of its hosts, at least of one: their failures
+        std::vector<double> hit;
+        for (const auto &[host, count] : by_host) hit.push_back(count.failed);
+        std::sort(hit.rbegin(), hit.rend());
+        const auto few = hit.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(1, hit.size() / 3));
+        return std::accumulate(hit.begin(), few, 0.0);
+    }
+    long struck() const { // hosts
+        return std::count_if(by_host.begin(), by_host.end(),
+                             [](const auto &one) { return one.second.failed > 0; });
+    }
+    // Log odds that some one method fails such a share, against the most of what the earlier build fails of
+    // it, what the others fail here, and that least; with so many picks of prior belief.
+    double method_odds(double share, double least, double prior) const {
+        double most = 0;
+        for (std::size_t i = 0; i < by_method.size() && i < before_by.size(); ++i) {
+            const Count &one = by_method[i], &before_one = before_by[i];
+            const double beside = (before_one.failed + prior * usual) / (before_one.picks + prior);
+            const double others = (all.failed - one.failed + least * prior) / (all.picks - one.picks + prior);
+            const double chance = std::min(share, std::max({beside, others, least}));
+            most = std::max(most, one.failed * std::log(share / chance) +
+                                      one.ok() * std::log((1 - share) / (1 - chance)));
+        }
+        return most;
+    }
+
     double routers = 0; // heard, this one too
     double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // theirs together, now and when the trial began
-    double rise = 0; // of their log latencies, the mean
     double pace = 0; // middle method's log latency over the usual, of either build
 };
 
@@ -167,7 +193,6 @@
 struct Figures {
     double traffic = 0;
     double fleet = 0; // middle host
-    double better = 0; // best quarter
     double sound = 0;
     bool limited = false;
 };
@@ -542,7 +567,6 @@
         if (calm.traffic > 0) { // else it started since and knows no calm
             word.witnesses = 1;
             word.calm = calm.traffic;
-            word.rise = lately.better - calm.better;
         }
         word.trial.resize(terms.methods.size());
         word.before.resize(terms.methods.size());
@@ -580,7 +604,7 @@
         told.answers = word.answers;
         told.routers = word.routers;
         told.traffic = word.traffic, told.calm = word.calm;
-        told.rise = word.rise, told.witnesses = word.witnesses;
+        told.witnesses = word.witnesses;
         std::vector<double> paces; // of methods with so many timed picks, of either build
         for (std::size_t i = 0; i < before.size(); ++i) {
             Count both = word.before[i];
@@ -641,6 +665,28 @@
         }
     }
 
+    // Of the first so many of methods and tenants that were seen since: the least lateness.
+    double least_late(std::size_t first, Ticks since) const {
+        double least = -1;
+        for (std::size_t i = 0; i < first; ++i)
+            if (lateness[i].second > since && (least < 0 || lateness[i].first < least))
+                least = lateness[i].first;
+        return std::max(0.0, least);
+    }
+
+    // The chance that as many, struck blindly of all, are the eldest of these up to the last unwell one.
+    static double chance_eldest(std::vector<std::pair<Ticks, bool>> trial, double struck, double all) {
+        double chance = 1;
+        std::sort(trial.begin(), trial.end());
+        for (auto at = trial.begin(); at != trial.end() && at->second; ++at) chance *= struck-- / all--;
+        return chance;
+    }
+
+    int drawn_peer(Ticks draw) const { // alike at all routers that know of the stage
+        const auto salt = (std::uint64_t(known.build) << 32) + (std::uint64_t(known.stage) << 24) + draw;
+        return static_cast<int>(mix("", salt) % terms.instances);
+    }
+
     static void forget(std::deque<Ticks> &times, Ticks before) {
         while (!times.empty() && times.front() < before) times.pop_front();
     }
@@ -659,18 +705,12 @@
         return {took, sent};
     }
 
-    // Latency over the usual of the hosts older than so much: the earlier ones' middle, all ones' best
-    // quarter.
+    // Latency over the usual of the earlier hosts older than so much: the middle.
     void measure_fleet(Ticks old) {
-        std::vector<double> excess, all;
-        for (const Host &host : hosts) {
-            if (!usable(host) || now - host.entry.started < old) continue;
-            all.push_back(host.excess);
-            if (!on_trial(host.entry.build)) excess.push_back(host.excess);
-        }
+        std::vector<double> excess;
+        for (const Host &host : hosts)
+            if (usable_earlier(host) && now - host.entry.started >= old) excess.push_back(host.excess);
         if (!excess.empty()) lately.fleet = median(excess);
-        std::sort(all.begin(), all.end());
-        if (!all.empty()) lately.better = all[all.size() / 4];
         lately.limited = limit > 0;
         lately.sound = sound[0] + sound[1];
     }
--- a/src/word.hpp
+++ b/src/word.hpp
@@ -31,15 +31,12 @@
     double routers = 1; // whose figures it sums
     double witnesses = 0; // of them, those that saw the trial begin
     double traffic = 0, calm = 0; // first tries a second: now and when the trial began
-    double rise = 0; // log latency of the better hosts over that when it began; of the witnesses, the mean
     Count answers; // passed on from the build; failed: found wrong by clients
     std::vector<Count> trial, before; // by method
 
     // Of other routers, on the same build and with as many methods.
     void add(const Word &other) {
         routers += other.routers;
-        if (const double seen = witnesses + other.witnesses; seen > 0)
-            rise = (rise * witnesses + other.rise * other.witnesses) / seen;
         witnesses += other.witnesses;
         traffic += other.traffic, calm += other.calm;
         answers.add(other.answers);
@@ -60,7 +57,7 @@
         };
         const auto put_log = [&](double value) { put(value * kScale + 128, 1); };
         put(build, 2), put(routers, 2), put(witnesses, 2);
-        put(traffic * 10, 3), put(calm * 10, 3), put_log(rise);
+        put(traffic * 10, 3), put(calm * 10, 3);
         put(answers.picks, 2), put(answers.failed, 1);
         for (const auto *side : {&trial, &before})
             for (const Count &count : *side) {
@@ -72,7 +69,7 @@
 
     // Nothing where the bytes are not of this version or not of so many methods.
     static std::optional<Word> unpack(const std::string &bytes, std::size_t methods) {
-        if (bytes.size() != 17 + methods * 14 || bytes[0] != kVersion) return std::nullopt;
+        if (bytes.size() != 16 + methods * 14 || bytes[0] != kVersion) return std::nullopt;
         std::size_t at = 1;
         const auto take = [&](int width) {
             unsigned whole = 0;
@@ -86,7 +83,6 @@
         word.witnesses = std::min(word.routers, take(2));
         word.traffic = take(3) / 10;
         word.calm = take(3) / 10;
-        word.rise = take_log();
         word.answers.picks = take(2);
         word.answers.failed = take(1);
         for (auto *side : {&word.trial, &word.before})
