--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -20,36 +20,30 @@
 constexpr double kBlind = 0.02, kBlindDoubt = 0.1; // chances under which trouble is no blind one, or in doubt
 constexpr double kAilShare = 0.05, kSlowAil = 2; // failure share and relative latency from which a host ails
 constexpr Ticks kLoneFor = 100000; // in stage one on one host, whose failures may be its own
-constexpr double kUneven = 2.5; // deviations that trouble of hosts, or chance, may add to the usual share
-constexpr double kLeastShare = 0.01; // that share falls with the sample, to this
+constexpr double kUneven = 2.5, kLeastShare = 0.01; // deviations that hosts and chance may add; least bar
 constexpr double kHoldShare = 0.10; // timer: hold above this share
 constexpr int kHoldPairs = 10, kOnPairs = 20; // over so many pairs; pairs in the stage before a vote on
-constexpr int kOnDivergences = 1; // at most so many of them diverging
-constexpr double kOnShare = 0.003; // and so much of a large sample: machines fail a little anyway
-constexpr double kReleasePicks = 100; // tallied picks before the last vote on, where there are tallies
+constexpr double kOnDivergences = 1, kOnShare = 0.003; // may diverge, and of a large sample: machines fail
+constexpr double kReleasePicks = 100, kOnPooled = 4; // pooled, before the last vote on; before one in between
 constexpr double kMethodFails = 0.5, kFewPicks = 10; // share looked for; picks of prior belief
-constexpr double kLeastFails = 0.02; // of any method, by chance
+constexpr double kLeastFails = 0.02, kFailDoubt = 0.5; // of any method, by chance; of a bar: no vote on
 constexpr double kMethodProof = 6, kMethodDoubt = 1; // log odds: back; no vote on
-constexpr double kFailDoubt = 0.5; // of the bars for failures: no vote on
 constexpr double kHostsFail = 0.25; // that hosts in trouble may fail where none of the earlier build tell
-constexpr double kOnPooled = 4; // and before another one from stage two on
 constexpr double kSlowChance = 3; // over the root of the sample: what chance may add to a tallied latency
 constexpr Ticks kOnAnyway = 30000; // a clean balancer votes on after so long in a stage
 constexpr Ticks kVoteRenewal = 40000, kVoteRetry = 3000; // a vote is sent again: counted, not counted
-constexpr double kVoteTries = 0.5; // of the time in which each router has a turn, between tries of a vote on
-constexpr double kTalliedRatio = 2.3; // of all routers' picks, over that when the trial began
-constexpr int kMuchFrom = 2; // the stage from which a trial carries much
+constexpr double kVoteTries = 0.5; // of the time in which each has a turn, between tries of a vote on
+constexpr double kSlowedRatio = 2.3, kMuchFrom = 2; // latency of all picks over the calm; from that stage on
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
-constexpr double kColdKeys = 1.3; // trial hosts have yet to meet the keys that the earlier ones know
-constexpr double kFewHosts = 0.8; // a lone trial host must be so much slower still: machines differ
+constexpr double kColdKeys = 1.3,
+                 kFewHosts = 0.8; // unmet keys; a lone trial host, as machines differ: slower
 constexpr Ticks kColdSkip = 50000; // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000; // older samples say nothing of a build that turns bad with time
 
 constexpr double kTrafficRate = 0.06, kPeakFade = 0.985; // a beat: of the newest figure; of its peak
 constexpr Ticks kSlowFor = 10000; // the trial's median stays over the bar
-constexpr Ticks kProvenFor =
-    10000; // of a vote that releases by itself: what wavers in that time was in doubt
+constexpr Ticks kProvenFor = 10000; // of a vote that releases by itself: what wavers meanwhile was in doubt
 constexpr double kMinority = 0.6; // trial's part up to which the earlier hosts can bear witness
 constexpr double kSlowDoubt = 0.75, kSharedDoubt = 0.5; // of a bar (as logs), own or shared: no vote goes on
 constexpr double kLoadRise = 1.5, kFailRise = 15; // of all latencies: powers of load, for a failure share
@@ -60,10 +54,9 @@
 constexpr int kFewRouters = 3; // with more, traffic is not spread evenly enough to be known
 constexpr double kFuller = 1.5; // cost of the trial's best host over the earlier one's: clearly fuller
 
-constexpr double kYieldMost = 0.35; // yielding more, the trial is not voted on
 constexpr double kCopyBeside = 0.2; // copies beside real traffic, over the trial's part of it
 
-constexpr double kWarmEnough = 0.75; // of each trial host's capacity, before the earlier ones are let go
+constexpr double kYieldMost = 0.35, kWarmEnough = 0.75; // at most, for a vote on; each host, for the last one
 
 constexpr double kFlagProof = 6.0; // log odds that complaints follow the build, more where more may err
 constexpr double kWrongShare = 0.06, kFlagPrior = 250; // wrong answers looked for; answers of prior belief
@@ -89,13 +82,11 @@
 constexpr double kLookLatency = 3.0; // usual latencies before an RPC looks elsewhere
 constexpr double kLookLeast = 0.3, kLookMost = 0.6; // of the soft deadline
 constexpr Ticks kLateSpan = 5000; // over which answers tell how late they come
-constexpr double kSparse = 0.3; // weight of the newest answer at most, of a router that has few
 constexpr double kCalmPart = 0.6, kAskPart = 0.15; // of its lateness another method has; asked all the same
-constexpr double kLateMost = 1.5; // a soft deadline missed by more says no more
+constexpr double kLateMost = 1.5, kSparse = 0.3; // deadlines, no more is told; weight of one of few answers
 constexpr double kHopeful = 0.8, kHopeless = 1.6, kCrowded = 0.4; // wait over soft deadline: all, none, once
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
-constexpr double kLeastLimit = 0.6; // of open picks
-constexpr double kCutLimit = 0.92, kRaiseLimit = 1.04; // a step of the limit, down and up
+constexpr double kLeastLimit = 0.6, kCutLimit = 0.92, kRaiseLimit = 1.04; // open picks; steps down, up
 constexpr double kFirstRoom = 0.5, kLeastWorth = 0.8, kOverShare = 0.5; // of room: first, least, past quota
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
@@ -110,7 +101,6 @@
     Decider(Terms given, std::uint64_t seed) : Instance(std::move(given), seed) { budget = kBudgetMost / 2; }
 
     bool many() const { return terms.instances > kFewRouters; }
-    double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
     void weigh_hosts() {
         if (!pools_due) return;
         sound[0] = sound[1] = 0;
@@ -119,14 +109,14 @@
             host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
             // Many routers bound what each cold host gets by chance: their draws need not allow for it too.
-            const double sound_part = many() ? host.weight / warmth(host) : host.weight;
-            if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += sound_part;
+            if (usable(host) && well(host))
+                sound[on_trial(host.entry.build)] += many() ? host.weight / warmth(host) : host.weight;
         }
         fill_pools(now - kReportAge, kRingPoints, kPoolRate, kLoadRate);
     }
 
     double faded(double figure, Ticks since) const {
-        return figure * std::exp2(-static_cast<double>(now - since) / kForgive);
+        return figure * std::exp2(double(since - now) / kForgive);
     }
     double fails(const Host &host) const { return faded(host.fails, host.fails_at); }
     double missing(const Host &host) const { return kMissed * faded(host.misses, host.missed_at); }
@@ -140,8 +130,8 @@
 
     double size_of(const Rpc &rpc) const { return std::clamp(rpc.size, 1 / kLargest, kLargest); }
     double usual_latency(int method) const {
-        if (usual_count[method] == 0) return kLookLeast * terms.methods[method].soft_deadline;
-        return std::exp(usual[method]);
+        return usual_count[method] > 0 ? std::exp(usual[method])
+                                       : kLookLeast * terms.methods[method].soft_deadline;
     }
 
     void clock(Ticks at) override {
@@ -158,15 +148,10 @@
         forget_flows();
         while (allowed.size() > kMostAllowed) allowed.erase(allowed.begin());
         measure_fleet(kColdSkip);
-        double warm = 0, there[2] = {0, 0};
-        for (const Host &host : hosts)
-            if (usable(host)) {
-                there[on_trial(host.entry.build)] += rating(host);
-                if (warmth(host) >= 1) warm += rating(host);
-            }
         // Spread over a whole side's hosts its traffic is what a warm one serves. Stops a router that starts
         // among cold hosts, and has seen no warm one serve, from pushing back what they could take.
-        places = std::max({places * kPaceFade, there[0], there[1]});
+        const double warm = warm_rating();
+        places = std::max({places * kPaceFade, rating_of(false), rating_of(true)});
         if (places > 0) pace = std::max(pace, traffic / places);
         if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
@@ -513,8 +498,6 @@
         return part * (rpc.over_share ? kOverShare : 1);
     }
 
-    bool crowded(double part) const { return open >= kFirstRoom * terms.room * part; }
-
     // A method that comes past its soft deadline at every host while others do not is worth next to nothing,
     // and holds the place of those: most of it is pushed back, the rest tells when that is over.
     bool past_hope(const Rpc &rpc) {
@@ -528,7 +511,8 @@
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return crowded(part) || past_hope(rpc) || (limit > 0 && open + rng.unit() * many() >= limit * part) ||
+        return open >= kFirstRoom * terms.room * part || past_hope(rpc) ||
+               (limit > 0 && open + rng.unit() * many() >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
@@ -564,11 +548,7 @@
     Decision first_pick(Rpc &rpc) {
         const Method &method = method_of(rpc);
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
-        // A jam of the earlier hosts is none of the trial's where these are clearly emptier: its part is
-        // sent, where few routers know the load. Stops a release that fails late from starving its heir.
-        const bool jam = drawn && terms.instances <= kFewRouters && pools[0].load > pools[1].load * kFuller;
-        const bool eased = jam && limit > 0 && !crowded(1) && choose(rpc, true) >= 0;
-        if (!eased && shed(rpc)) return finish(rpc, true);
+        if (shed(rpc)) return finish(rpc, true);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
         const int newer = drawn || copyable ? choose(rpc, true) : -1;
@@ -650,27 +630,23 @@
         return told;
     }
 
-    // Where routers are many each tells its word to a few, drawn for all alike and anew each round, and these
-    // tell the sum to all. Stops words from costing the square of the routers, or from coming a stage late.
-    bool few_peers() const { return terms.instances <= 2 * kCollectors || terms.ordinal < 0; }
+    // Each tells its word to a few, drawn for all alike and anew each round, and these tell the sum to all.
+    // Stops words from costing the square of the routers, or from coming a stage late.
     Word pool() { return pooled(now - 5 * kTellRound / 2, own_word(now - kEvidenceAge)); }
 
     Decision tell() {
-        if (!terms.peers || terms.instances < 2 || !(trial_runs() || fresh())) return {};
+        if (!terms.peers || terms.ordinal < 0 || !(trial_runs() || fresh())) return {};
         const Ticks round = (now - stage_at) / kTellRound;
         if (round != std::exchange(tell_round, round)) {
-            tell_left = few_peers() ? 1 : kCollectors;
+            tell_left = kCollectors;
             tell_at = now + static_cast<Ticks>(kTellRound / 2 * rng.unit());
-            for (int which = 0; which < (few_peers() ? 0 : kCollectors); ++which)
+            for (int which = 0; which < kCollectors; ++which)
                 if (drawn_peer((round - 1) * kCollectors + which) == terms.ordinal)
                     return {.act = Act::tell, .text = pool().pack()};
         }
-        while (now >= tell_at && tell_left > 0) {
-            const int peer = few_peers() ? -1 : drawn_peer(round * kCollectors + tell_left - 1);
-            --tell_left;
-            if (peer != terms.ordinal || peer < 0)
+        while (now >= tell_at && tell_left > 0)
+            if (const int peer = drawn_peer(round * kCollectors + --tell_left); peer != terms.ordinal)
                 return {.act = Act::tell, .text = own_word(now - kEvidenceAge).pack(), .peer = peer};
-        }
         return {};
     }
 
@@ -678,12 +654,6 @@
 
     double hosts_there() const { return std::max<std::size_t>(1, pools[trial_runs()].hosts.size()); }
 
-    // Are the failures those of a few hosts, not of the build? Stops votes back for a neighbour, a failing or
-    // silent host under the trial.
-    bool host_explains(const Evidence &seen) const {
-        return seen.by_host.size() > 1 && seen.on_worst_third() > kConcentrated * seen.all.failed;
-    }
-
     // Of many routers some one meets several bad hosts by chance. Stops it from sending a good build back for
     // all: its own failures speak only where they have struck that many hosts, more of them the more routers.
     bool strikes_few(const Evidence &seen) const {
@@ -730,13 +700,6 @@
                told.answers.picks * (bad_rate - usual_rate);
     }
 
-    // Log odds that one method alone fails by the build, set against what the earlier build fails of it, and
-    // the trial of the others: its hosts' troubles strike all. Stops a build that fails a rare method from
-    // being released, or from doing harm until that method has a sample of its own.
-    double method_odds(const Evidence &seen) const {
-        return seen.method_odds(kMethodFails, kLeastFails, kFewPicks);
-    }
-
     // The bar falls as the sample grows, and rises where the earlier build fails: trouble strikes hosts, few
     // unevenly. Stops a build that fails a tenth of its picks from passing under the first sample's bar.
     bool fails_much(const Evidence &seen, double part = 1) const {
@@ -761,7 +724,7 @@
         if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, risen);
         const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
-        const double bar = std::log(kTalliedRatio) + explained;
+        const double bar = std::log(kSlowedRatio) + explained;
         const bool carries = trial_runs() && (known.stage >= kMuchFrom || in_last_stage());
         const bool telling = !tallies.empty() || told.witnesses * 2 > terms.instances;
         const bool open_case = many() && (fresh() || carries) && telling && !calm.limited;
@@ -778,6 +741,12 @@
         const bool sees = fails_much(seen) && !strikes_few(seen);
         const bool failing = sees || (enough && fails_much(told));
         if (trial_runs() && many()) shown = told.by_method;
+        // One method alone, set against what the earlier build fails of it and the trial of the others, as
+        // hosts' troubles strike all. Stops a build that fails a rare method from being released, or from
+        // doing harm until that method has a sample of its own.
+        const auto method_odds = [](auto &of) {
+            return of.method_odds(kMethodFails, kLeastFails, kFewPicks);
+        };
         const double odds_own = method_odds(seen) - std::log(terms.instances), odds_all = method_odds(told);
         if (trial_runs() && many() && std::max(odds_own, pooled ? odds_all : 0) > kMethodProof)
             return back("one method", odds_own > odds_all ? seen : told, std::max(odds_own, odds_all));
@@ -785,7 +754,10 @@
         const bool lone = trial_runs() && pools[1].hosts.size() == 1;
         const bool waited = now - stage_at > kLoneFor;
         if (lone && waited && terms.rollout.advance != Advance::timer) return Verdict::on;
-        if (failing && !lone && !host_explains(seen)) return back("failures", sees ? seen : told, seen.usual);
+        // A neighbour, a failing or silent host under the trial is not the build.
+        const bool theirs =
+            seen.by_host.size() > 1 && seen.on_worst_third() > kConcentrated * seen.all.failed;
+        if (failing && !lone && !theirs) return back("failures", sees ? seen : told, seen.usual);
         const double blind = trial_runs() ? blind_chance() : 1;
         if (lasts(blind < among_all(kBlind), struck_since, kSlowFor)) return back("its hosts", seen, blind);
         if (slows_all(told)) return back("slowing all", told, told.pace);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -321,7 +321,7 @@
                 next.pushed = std::move(host.pushed);
                 next.dice = rng.unit();
                 const double unit = (mix(entry.id, own_order) >> 11) * 0x1p-53;
-                next.rank = -std::log(1 - unit) / std::max(0.05, entry.rating);
+                next.rank = -std::log(1 - unit) / rating(next);
                 next.quiet_since = now;
                 host = std::move(next);
             }
@@ -470,6 +470,19 @@
         if (entry.started <= now - age) of(entry.build).flags += 1; // else another process answered
     }
 
+    double rating(const Host &host) const { return std::max(0.05, host.entry.rating); }
+    double rating_of(bool trial) const { // of a side's usable hosts
+        double sum = 0;
+        for (const Host &host : hosts)
+            if (usable(host) && on_trial(host.entry.build) == trial) sum += rating(host);
+        return sum;
+    }
+    double warm_rating() const {
+        double sum = 0;
+        for (const Host &host : hosts)
+            if (usable(host) && warmth(host) >= 1) sum += rating(host);
+        return sum;
+    }
     double warmth(const Host &host) const {
         if (host.entry.started <= 0) return 1;
         const double grown = double(now - host.entry.started) / std::max<Ticks>(1, terms.cold_for);
