--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -36,8 +36,7 @@
 constexpr double kSlowedRatio = 2.3, kMuchFrom = 2; // latency of all picks over the calm; from that stage on
 constexpr double kSlowRatio = 1.5; // median latency against the earlier build's
 constexpr std::size_t kSlowSample = 10, kBesides = 20; // latencies for a host's median; beside it
-constexpr double kColdKeys = 1.3,
-                 kFewHosts = 0.8; // unmet keys; a lone trial host, as machines differ: slower
+constexpr double kColdKeys = 1.3, kFewHosts = 0.8; // slower: unmet keys; a lone trial host
 constexpr Ticks kColdSkip = 50000; // hosts younger than this are left out of the latency median
 constexpr Ticks kEvidenceAge = 80000; // older samples say nothing of a build that turns bad with time
 
@@ -498,6 +497,8 @@
         return part * (rpc.over_share ? kOverShare : 1);
     }
 
+    bool crowded(double part) const { return open >= kFirstRoom * terms.room * part; }
+
     // A method that comes past its soft deadline at every host while others do not is worth next to nothing,
     // and holds the place of those: most of it is pushed back, the rest tells when that is over.
     bool past_hope(const Rpc &rpc) {
@@ -511,8 +512,7 @@
     // at best. Stops jams before they show in answers; may push back at the head of a steep burst.
     bool shed(const Rpc &rpc) {
         const double part = worth_part(rpc), late_by = wait / method_of(rpc).soft_deadline / part;
-        return open >= kFirstRoom * terms.room * part || past_hope(rpc) ||
-               (limit > 0 && open + rng.unit() * many() >= limit * part) ||
+        return crowded(part) || past_hope(rpc) || (limit > 0 && open + rng.unit() * many() >= limit * part) ||
                rng.unit() < (late_by - kHopeful) / (kHopeless - kHopeful);
     }
 
@@ -548,7 +548,10 @@
     Decision first_pick(Rpc &rpc) {
         const Method &method = method_of(rpc);
         const bool drawn = trial_runs() && rpc.place < trial_share(rpc.from.method);
-        if (shed(rpc)) return finish(rpc, true);
+        // A jam of the earlier hosts is none of the trial's where these are clearly emptier: its part is
+        // sent, where few routers know the load. Stops a release that fails late from starving its heir.
+        const bool jam = drawn && !many() && limit > 0 && pools[0].load > pools[1].load * kFuller;
+        if (!(jam && !crowded(1) && choose(rpc, true) >= 0) && shed(rpc)) return finish(rpc, true);
         const bool copyable = trial_runs() && terms.second_copies && method.repeat == Repeat::idempotent &&
                               !rpc.from.retry && spare(rpc) && !method.stream;
         const int newer = drawn || copyable ? choose(rpc, true) : -1;
@@ -662,11 +665,6 @@
                struck < static_cast<long>(seen.by_host.size());
     }
 
-    // The chance below which one of them speaks: any of many routers may meet it.
-    double among_all(double chance) const {
-        return chance / std::max(std::sqrt(terms.instances), 1.0 * terms.instances / kFewRouters);
-    }
-
     // Has it answered or failed often enough of late for its figures to be its own? Stops a router of many,
     // that meets each host now and then, from taking one slow answer for a sick host.
     bool known_well(const Host &host) const { return faded(host.heard, host.heard_at) >= kHeardWell; }
@@ -741,13 +739,11 @@
         const bool sees = fails_much(seen) && !strikes_few(seen);
         const bool failing = sees || (enough && fails_much(told));
         if (trial_runs() && many()) shown = told.by_method;
-        // One method alone, set against what the earlier build fails of it and the trial of the others, as
-        // hosts' troubles strike all. Stops a build that fails a rare method from being released, or from
-        // doing harm until that method has a sample of its own.
-        const auto method_odds = [](auto &of) {
-            return of.method_odds(kMethodFails, kLeastFails, kFewPicks);
-        };
-        const double odds_own = method_odds(seen) - std::log(terms.instances), odds_all = method_odds(told);
+        // One method alone, against the earlier build's and the trial's other methods, as hosts' troubles
+        // strike all. Stops a build that fails a rare method from doing harm until that has a sample of its
+        // own.
+        const auto odds_of = [](auto &e) { return e.method_odds(kMethodFails, kLeastFails, kFewPicks); };
+        const double odds_own = odds_of(seen) - std::log(terms.instances), odds_all = odds_of(told);
         if (trial_runs() && many() && std::max(odds_own, pooled ? odds_all : 0) > kMethodProof)
             return back("one method", odds_own > odds_all ? seen : told, std::max(odds_own, odds_all));
         // A lone host's failures may be its own: the trial waits, then goes on, as more hosts tell.
@@ -759,7 +755,9 @@
             seen.by_host.size() > 1 && seen.on_worst_third() > kConcentrated * seen.all.failed;
         if (failing && !lone && !theirs) return back("failures", sees ? seen : told, seen.usual);
         const double blind = trial_runs() ? blind_chance() : 1;
-        if (lasts(blind < among_all(kBlind), struck_since, kSlowFor)) return back("its hosts", seen, blind);
+        // Any of many routers may meet what is unlikely for one.
+        const double all = std::max(std::sqrt(terms.instances), 1.0 * terms.instances / kFewRouters);
+        if (lasts(blind < kBlind / all, struck_since, kSlowFor)) return back("its hosts", seen, blind);
         if (slows_all(told)) return back("slowing all", told, told.pace);
         if (watching()) return Verdict::none;
         const bool slow = seen.slow > seen.slow_bar;
