--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -624,7 +624,7 @@
     // What all routers saw: the platform's tallies, or else what peers told. Stops a build that no router
     // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
-        Evidence told = compare_all(pool(), kBackPairs, kBeat);
+        Evidence told = compare_all(pool(), kBackPairs, kBeat, now - kEvidenceAge / 2);
         if (told.timed < kBackPairs || limit > 0) told.slow = 0;
         // Tallies count picks that no host took as failures; own picks tell how many those are.
         if (!tallies.empty()) told.usual += of(known.build).tried.share();
@@ -718,16 +718,15 @@
     // the build slows or jams all hosts. Stops one whose harm shows at none of its own. Some hosts are slow
     // by their own fault: so the bar is high, over what the first stage had, while the trial carries much.
     bool slows_all(const Evidence &told) {
-        const double risen = tallies.empty() ? told.pace : tallied_rise(now - kEvidenceAge / 2);
-        if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, risen);
-        const double load = told.traffic * calm.sound / std::max(1e-9, told.calm * lately.sound);
+        if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, told.pace);
+        const double load = told.more * calm.sound / std::max(1e-9, lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
         const double bar = std::log(kSlowedRatio) + explained;
         const bool carries = trial_runs() && (known.stage >= kMuchFrom || in_last_stage());
         const bool telling = !tallies.empty() || told.witnesses * 2 > terms.instances;
         const bool open_case = many() && (fresh() || carries) && telling && !calm.limited;
-        lasts(open_case && risen - early_rise > bar * kSharedDoubt, suspect_since, kSlowFor);
-        return lasts(open_case && risen - early_rise > bar, shared_since, kSlowFor);
+        lasts(open_case && told.pace - early_rise > bar * kSharedDoubt, suspect_since, kSlowFor);
+        return lasts(open_case && told.pace - early_rise > bar, shared_since, kSlowFor);
     }
 
     Verdict judgement() {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -185,8 +185,8 @@
 
     double routers = 0; // heard, this one too
     double witnesses = 0; // of them, those that saw the trial begin
-    double traffic = 0, calm = 0; // theirs together, now and when the trial began
-    double pace = 0; // middle method's log latency over the usual, of either build
+    double more = 0; // traffic now, over that when the trial began
+    double pace = 0; // log latency over the usual, of either build: of the middle method, or as tallied
 };
 
 // What is watched of the fleet: its traffic's peak, the earlier hosts' excess, the weight of sound hosts.
@@ -227,6 +227,7 @@
     std::map<int, Build> builds;
     std::deque<Sample> earlier; // the earlier build's picks of late
     std::deque<std::pair<Ticks, Tally>> tallies;
+    double calm_rate = 0; // tallied picks of a period when the trial began
     std::vector<Count> calm_pace; // by method: tallied log latency when the trial began
     double early_rise = 0; // of tallied log latency over that, in stage one
     std::vector<Count> shown; // by method: the trial's picks that all routers heard of saw
@@ -346,7 +347,20 @@
 
     void tally(const Tally &row) override {
         tallies.emplace_back(now - row.age, row);
-        if (trial_runs() && known.stage == 0) note_calm(row);
+        if (!trial_runs() || known.stage > 0) return;
+        note_calm(row);
+    }
+    // Tallied picks of a period, over those that ended since then and so far apart.
+    double tallied_rate(Ticks since, Ticks apart) const {
+        double picks = 0, periods = 0;
+        Ticks ended = -1;
+        for (const auto &[at, row] : tallies) {
+            if (at < since) continue;
+            periods += ended < 0 || at > ended + apart;
+            ended = at;
+            picks += row.picks;
+        }
+        return periods > 0 ? picks / periods : 0;
     }
     void note_calm(const Tally &row) {
         if (row.build < known.build && row.method < static_cast<int>(calm_pace.size()))
@@ -448,6 +462,7 @@
         known = told;
         has_news = true;
         if (other) {
+            calm_rate = 0;
             calm_pace.assign(terms.methods.size(), {});
             for (const auto &[at, row] : tallies) note_calm(row);
         }
@@ -610,13 +625,13 @@
 
     // What all routers saw of the trial's build beside those before it, as tallied or else as peers told;
     // latency by method, from so many picks on. Tallies that end so far apart are of two periods.
-    Evidence compare_all(const Word &word, double least, Ticks apart) const {
+    Evidence compare_all(const Word &word, double least, Ticks apart, Ticks late) {
         Evidence told;
         std::vector<Count> before = word.before;
         told.by_method = word.trial;
         told.answers = word.answers;
         told.routers = word.routers;
-        told.traffic = word.traffic, told.calm = word.calm;
+        told.more = word.traffic / std::max(1e-9, word.calm);
         told.witnesses = word.witnesses;
         std::vector<double> paces; // of methods with so many timed picks, of either build
         for (std::size_t i = 0; i < before.size(); ++i) {
@@ -626,6 +641,11 @@
         }
         std::sort(paces.begin(), paces.end());
         if (!paces.empty()) told.pace = paces[(paces.size() - 1) / 2];
+        if (!tallies.empty()) {
+            if (known.stage == 0 || calm_rate <= 0) calm_rate = tallied_rate(0, apart);
+            told.pace = tallied_rise(late);
+            told.more = tallied_rate(late, apart) / std::max(1e-9, calm_rate);
+        }
         if (!tallies.empty()) told.by_method.assign(before.size(), {}), before.assign(before.size(), {});
         std::vector<std::array<Count, 2>> periods; // the earlier builds' and the trial's
         Ticks ended = -1;
