Another shape's settings can be rehearsed: the same inputs, differences counted, decisions unchanged

Asked for by the move: before operators switch they watch. A second module beside the first, as a Router of its own: the driver is as it was but for which Router it makes. Off unless our settings name a file.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -91,6 +91,7 @@
         8}; // what has lain unread for less is as good as fresh: the kernel's clock has steps of 4
     Span late_for{100}; // after one that has lain, each read is asked
     Span sweep{1000}; // how often idle connections are looked at
+    int rehearsal_sweeps = 5; // between lines on what a rehearsal has counted
     Span leave_quiet{700}; // after SIGTERM: so long without an RPC ends accepting
     Span leave_least{1000}; // and not before
     Span leave_last{50}; // beyond the end told, for those in the queue where descriptors have run out
--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -40,6 +40,10 @@
             router::read_start_file(asked->path, [](const char *name) { return std::getenv(name); });
         if (wishes && wishes->release) router::check_fits(start, *wishes->release);
         if (wishes && wishes->entrance) router::check_fits(start, *wishes->entrance);
+        if (wishes && !wishes->rehearsal.empty()) {
+            router::read_rehearsed(start, wishes->rehearsal);
+            std::cout << "sound: " << wishes->rehearsal << ", to be rehearsed\n";
+        }
         std::cout << "sound: " << start.name << ", methods " << start.names.methods.size() << ", descriptors "
                   << start.limits.descriptors << '\n';
         return 0;
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -26,9 +26,8 @@
 } // namespace
 
 Driver::Driver(boost::asio::io_context &io, const Start &start, const Log &log)
-    : io_(io), start_(start), log_(log), module_(make_router(start.terms, start.seed)),
-      ledger_(ledger_of(start.limits)), hosts_(io, start, log, ledger_),
-      clients_(io, start, log, ledger_, *this),
+    : io_(io), start_(start), log_(log), module_(make_module()), ledger_(ledger_of(start.limits)),
+      hosts_(io, start, log, ledger_), clients_(io, start, log, ledger_, *this),
       watch_(
           io, start, log, [this](const membership::Listing &listing) { take_list(listing); },
           [this] { module().list_failed(); }, [this](bool overdue) { hosts_.go_blind(overdue); }),
@@ -43,6 +42,16 @@
             [this](const release::Change &told) { module().allow(told.build, told.cell, told.share); });
 }
 
+// The same chance for both: where they are told the same they decide the same.
+std::unique_ptr<Router> Driver::make_module() {
+    auto module = make_router(start_.terms, start_.seed);
+    if (!start_.rehearsed) return module;
+    auto both = std::make_unique<rehearsal::Rehearsal>(std::move(module),
+                                                       make_router(*start_.rehearsed, start_.seed));
+    rehearsal_ = both.get();
+    return both;
+}
+
 void Driver::begin() {
     // Where a registry holds the list, what discovery once told would never be taken back.
     if (!start_.known.is_null() && !start_.registry) {
@@ -403,6 +412,17 @@
 }
 
 // What admission held back since the last line, where it did.
+void Driver::say_rehearsed() {
+    if (!rehearsal_ || ++unsaid_sweeps_ < start_.limits.rehearsal_sweeps) return;
+    unsaid_sweeps_ = 0;
+    const rehearsal::Differences &seen = rehearsal_->differences();
+    if (seen == said_rehearsed_) return;
+    said_rehearsed_ = seen;
+    log_(Level::info, "rehearsal: RPCs ", seen.rpcs, ", otherwise: builds ", seen.builds, ", hosts ",
+         seen.hosts, ", copies ", seen.copies, ", pushbacks ", seen.push_backs, ", votes on ", seen.votes_on,
+         ", votes back ", seen.votes_back);
+}
+
 void Driver::say_held() {
     if (!counter_) return;
     std::uint64_t refused = 0;
@@ -432,6 +452,7 @@
         log_(Level::debug, "clients ", clients_.open(), ", connections to hosts ", hosts_.open(), ", RPCs ",
              rpcs_.size());
         say_held();
+        say_rehearsed();
     }
 }
 
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -5,6 +5,7 @@
 #include "admission/ledger.hpp"
 #include "membership/registration.hpp"
 #include "membership/source.hpp"
+#include "rehearsal/rehearsal.hpp"
 #include "release/office.hpp"
 #include "router/clients/clients.hpp"
 #include "router/hosts/hosts.hpp"
@@ -48,6 +49,7 @@
     // The module at this turn's time. All that one turn of the loop reads is told before decisions are
     // pulled.
     Router &module();
+    std::unique_ptr<Router> make_module();
     void pull();
     void carry_out(const Decision &decision);
     void send(const Decision &decision);
@@ -71,10 +73,12 @@
     asio::awaitable<void> listen();
     asio::awaitable<void> sweep();
     void say_held();
+    void say_rehearsed();
 
     boost::asio::io_context &io_;
     const Start &start_;
     const Log &log_;
+    rehearsal::Rehearsal *rehearsal_ = nullptr; // the module, where another shape is rehearsed beside it
     std::unique_ptr<Router> module_;
     Ticks leave_by_ = -1; // leaving: by then every answer has gone
     std::optional<membership::Source> registry_; // in discovery's place
@@ -97,6 +101,8 @@
     News known_{};
     Ticks known_at_ = 0;
     std::uint64_t said_refused_ = 0, said_held_ = 0;
+    rehearsal::Differences said_rehearsed_{};
+    int unsaid_sweeps_ = 0;
 };
 
 } // namespace pineridge::router
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -72,6 +72,18 @@
     return limits;
 }
 
+Names read_names(const json &settings) {
+    return {names(settings, "classes"), names(settings, "tenants"), names(settings, "zones"),
+            names(settings, "kinds"), names(need(settings, "report"), "fields")};
+}
+
+// On sockets discovery tells those who ask, and nobody else: also where the simulator would push changes.
+// Stops a router from keeping to the list of its start, and picks from reaching hosts long drained.
+void fit_sockets(Terms &terms, const Limits &limits) {
+    terms.list_by_asking = true;
+    terms.room = static_cast<int>(limits.hosts); // a connection carries one pick at a time
+}
+
 } // namespace
 
 int place_of(const std::vector<std::string> &names, const std::string &name, const char *field) {
@@ -94,18 +106,14 @@
     if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size()) wrong("seed", "not a hex number");
     const json &settings = need(from, "settings");
     start.terms = read_terms(settings);
-    // On sockets discovery tells those who ask, and nobody else: also where the simulator would push changes.
-    // Stops a router from keeping to the list of its start, and picks from reaching hosts long drained.
     start.list_at_hand = !start.terms.list_by_asking;
-    start.terms.list_by_asking = true;
-    start.names = {names(settings, "classes"), names(settings, "tenants"), names(settings, "zones"),
-                   names(settings, "kinds"), names(need(settings, "report"), "fields")};
+    start.names = read_names(settings);
     for (const Method &method : start.terms.methods)
         start.names.idempotent.push_back(method.repeat == Repeat::idempotent);
     start.limits = read_limits(need(from, "limits"), settings);
     // Stops a fleet that starts at once from opening to each host what it never uses: hosts hold few.
     start.limits.warm = std::min(start.limits.warm, kWarmOfAll / start.terms.instances);
-    start.terms.room = static_cast<int>(start.limits.hosts); // a connection carries one pick at a time
+    fit_sockets(start.terms, start.limits);
     return start;
 }
 
@@ -127,7 +135,31 @@
                                              .c_str());
 }
 
+Terms read_rehearsed(const Start &start, const std::string &path) {
+    std::ifstream file(path);
+    if (!file) wrong("rehearsal.settings", (path + ": cannot be opened").c_str());
+    const json from = json::parse(file, nullptr, false);
+    if (!from.is_object()) wrong("rehearsal.settings", (path + ": not a JSON object").c_str());
+    try {
+        Terms terms = read_terms(from);
+        const Names told = read_names(from);
+        const auto same = [](const auto &now, const auto &then, const char *key) {
+            if (now != then) wrong(key, "not the names that the configuration holds, in its order");
+        };
+        same(start.names.methods, told.methods, "classes");
+        same(start.names.tenants, told.tenants, "tenants");
+        same(start.names.zones, told.zones, "zones");
+        same(start.names.kinds, told.kinds, "kinds");
+        same(start.names.report_fields, told.report_fields, "report.fields");
+        fit_sockets(terms, start.limits);
+        return terms;
+    } catch (const BadInput &bad) {
+        throw BadInput("rehearsal.settings: " + path + ": " + bad.what());
+    }
+}
+
 void take_wishes(Start &start, const Wishes &wishes) {
+    if (!wishes.rehearsal.empty()) start.rehearsed = read_rehearsed(start, wishes.rehearsal);
     start.registry = wishes.registry;
     if (start.registry)
         start.registry_access =
@@ -139,6 +171,7 @@
     }
     if (!start.release) return;
     check_fits(start, *start.release);
+    if (start.rehearsed) start.rehearsed->cell_share = 0;
     start.terms.cell_share = 0; // a trial of which the plan has told nothing is in its first stage
 }
 
--- a/src/settings/read.cpp
+++ b/src/settings/read.cpp
@@ -359,6 +359,7 @@
     for (const Node &release : root.all("release")) wishes.release = read_scheme(release);
     for (const Node &registry : root.all("registry")) wishes.registry = read_registry(registry);
     for (const Node &admission : root.all("admission")) wishes.entrance = read_entrance(admission);
+    for (const Node &rehearsal : root.all("rehearsal")) wishes.rehearsal = rehearsal.text("settings");
     return wishes;
 }
 
--- a/src/settings/read.hpp
+++ b/src/settings/read.hpp
@@ -17,6 +17,8 @@
     std::optional<Scheme> release;
     std::optional<Registry> registry;
     std::optional<Entrance> entrance;
+    std::string
+        rehearsal{}; // file of the settings of another shape of deployment; empty: nothing is rehearsed
 };
 
 // Both throw BadInput as "FILE:LINE: KEY: what is wrong". `file` names the text in messages.
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -62,6 +62,7 @@
     terms.max_picks = whole(allowed, "maxAttempts");
     terms.max_pause = ticks(allowed, "maxRetryAfter");
     if (has(allowed, "keepalive")) terms.keepalive = ticks(allowed, "keepalive");
+    if (terms.keepalive < 0) wrong("keepalive", "below 0");
     terms.utility_by_work = word<bool>(profile, "valueBy", {{"request", false}, {"work", true}});
     terms.cold_for = ticks(rules, "warmUp");
     terms.overload_for = ticks(rules, "overloadFor");
