--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -719,7 +719,8 @@
     // by their own fault: so the bar is high, over what the first stage had, while the trial carries much.
     bool slows_all(const Evidence &told) {
         if (trial_runs() && known.stage == 0) early_rise = std::max(0.0, told.pace);
-        const double load = told.more * calm.sound / std::max(1e-9, lately.sound);
+        const double then = calm.sound > 0 ? calm.sound : lately.sound; // it started since and knows no calm
+        const double load = told.more * then / std::max(1e-9, lately.sound);
         const double explained = kLoadRise * std::max(0.0, std::log(load)) + kFailRise * earlier_fails;
         const double bar = std::log(kSlowedRatio) + explained;
         const bool carries = trial_runs() && (known.stage >= kMuchFrom || in_last_stage());
