--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -87,6 +87,7 @@
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kLeastLimit = 0.6, kCutLimit = 0.92, kRaiseLimit = 1.04; // open picks; steps down, up
 constexpr double kFirstRoom = 0.5, kLeastWorth = 0.8, kOverShare = 0.5; // of room: first, least, past quota
+constexpr double kPaceRate = 0.02; // a beat, of what a router of many sees
 constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
@@ -151,8 +152,18 @@
         // among cold hosts, and has seen no warm one serve, from pushing back what they could take.
         const double warm = warm_rating();
         places = std::max({places * kPaceFade, rating_of(false), rating_of(true)});
-        if (places > 0) pace = std::max(pace, traffic / places);
-        if (warm > 0) pace = std::max(pace * kPaceFade, pace + (warm_served.size() / warm - pace) * 0.05);
+        const double served_pace = warm > 0 ? warm_served.size() / warm : pace;
+        if (!many()) {
+            if (places > 0) pace = std::max(pace, untried / places);
+            pace = std::max(pace * kPaceFade, pace + (served_pace - pace) * 0.05);
+        } else if (paced > 0 || !warm_served.empty()) {
+            // Little traffic has peaks that are chance, and in a collapse most of it is retries. Stops a
+            // fleet from taking either for what its hosts can do, and from pushing over one cold host after
+            // the other.
+            pace += (served_pace - pace) * std::max(kPaceRate, 1.0 / ++paced);
+        } else if (places > 0) {
+            pace = std::max(0.0, untried) / places;
+        }
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
@@ -267,8 +278,10 @@
         learn(rpc, pick);
         // A copy that comes after the answer holds the key as well: its build has answered it.
         if (outcome == Outcome::ok && !rpc.done) of(pick.build).answers += 1, answered.push_back(now);
-        if (outcome == Outcome::ok && terms.rollout.keys_stay && on_trial(pick.build))
-            of(pick.build).keys.insert(rpc.from.key);
+        // The list may tell of another process there by now, whose build counts.
+        const int build = std::max(pick.build, hosts[pick.host].entry.build);
+        if (outcome == Outcome::ok && terms.rollout.keys_stay && build > least_build && !going_back(build))
+            of(build).keys.insert(rpc.from.key);
         if (complete || outcome == Outcome::ok) settle(rpc);
         judge_pair(rpc);
         enqueue(rpc);
@@ -329,9 +342,10 @@
         return sent + 1 <= std::max(kColdFloor / terms.instances, allowed) + host.dice;
     }
 
-    // Rule 5: a key that a newer build has answered goes to no lower one while that build is not going back.
+    // Rule 5: a key that a newer build has answered goes to no lower one until that build is told to go back:
+    // also one that no news has named yet, and one released while the list still shows lower ones.
     bool keys_allow(const Rpc &rpc, int number) const {
-        if (!terms.rollout.keys_stay || rpc.from.key.empty() || !(trial_runs() || watching())) return true;
+        if (!terms.rollout.keys_stay || rpc.from.key.empty()) return true;
         // A build that the plan allows its cell nothing of is going back there: it holds none of its keys.
         return std::none_of(builds.upper_bound(number), builds.end(), [&](const auto &build) {
             return build.second.keys.count(rpc.from.key) > 0 && share_in_cell(build.first, rpc.from.cell) > 0;
@@ -485,6 +499,7 @@
 
     Decision finish(Rpc &rpc, bool push_back) {
         settle(rpc);
+        ++turned_away;
         if (!push_back || !may_push_back(rpc)) return {.act = Act::abort, .rpc = rpc.from.id};
         const auto pause = static_cast<Ticks>(kPause * (1 + rng.unit()));
         return {.act = Act::push_back, .rpc = rpc.from.id, .span = std::min(terms.max_pause, pause)};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -217,6 +217,7 @@
     std::vector<Host> hosts;
     std::unordered_map<std::string, int> host_at;
     std::vector<int> in_order; // hosts by rank
+    int least_build = 0; // of the usable ones
     Pool pools[2]; // the earlier builds' and the trial's
     bool pools_due = true;
     double sound[2] = {0, 0}; // weight of the well ones on either side
@@ -250,6 +251,9 @@
     std::vector<std::pair<double, Ticks>> lateness; // by method, then by tenant: mean lateness, and when seen
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0; // picks a second at warm hosts, for each unit of rating
+    int paced = 0; // beats that it stands on, where routers are many
+    double untried = 0; // first tries a second less those turned away, which come again
+    int turned_away = 0; // since it was last counted
     double places = 0; // rating of the hosts of a whole side, as many as there were of late
     std::deque<Ticks> warm_served;
     double traffic = 0; // first tries a second
@@ -280,6 +284,10 @@
     bool on_trial(int build) const {
         return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
     }
+    bool going_back(int build) const {
+        return has_news && build == known.build &&
+               (known.phase == Phase::going_back || known.phase == Phase::withdrawn);
+    }
     bool trial_runs() const { return has_news && known.phase == Phase::on_trial; }
     bool watching() const { return has_news && known.phase == Phase::released; }
     bool usable(const Host &host) const { return host.listed && host.entry.standing == Standing::ready; }
@@ -458,6 +466,8 @@
             proven_since = -1;
             log("news: build %.0f stage %.0f phase %.0f", told.build, told.stage, int(told.phase));
             if (told.phase != Phase::on_trial) of(told.build).range.clear();
+            if (told.phase == Phase::going_back || told.phase == Phase::withdrawn)
+                of(told.build).keys.clear();
         }
         known = told;
         has_news = true;
@@ -507,6 +517,9 @@
     // Sorts the usable hosts by side. What others hold comes from reports since `fresh`, else from own picks.
     void fill_pools(Ticks fresh, int points, double rate, double slow_rate) {
         pools_due = false;
+        least_build = hosts.empty() ? 0 : hosts.front().entry.build;
+        for (const Host &host : hosts)
+            if (usable(host)) least_build = std::min(least_build, host.entry.build);
         double told[2] = {0, 0}, there[2] = {0, 0}, own[2] = {0, 0};
         for (Pool &pool : pools) pool.hosts.clear(), pool.upto.clear(), pool.ring.clear();
         for (const int i : in_order) {
@@ -751,7 +764,8 @@
     void count_traffic(double rate) {
         const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
         traffic += (arrivals / span - traffic) * rate;
-        arrivals = 0;
+        untried += ((arrivals - turned_away) / span - untried) * rate;
+        arrivals = turned_away = 0;
         traffic_at = now;
         if (born < 0) born = now;
         forget(warm_served, now - 10000);
