--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -87,8 +87,7 @@
 constexpr double kLateHigh = 0.55, kLateLow = 0.4; // latency over soft deadline: fewer, or more, open picks
 constexpr double kLeastLimit = 0.6, kCutLimit = 0.92, kRaiseLimit = 1.04; // open picks; steps down, up
 constexpr double kFirstRoom = 0.5, kLeastWorth = 0.8, kOverShare = 0.5; // of room: first, least, past quota
-constexpr double kPaceRate = 0.02; // a beat, of what a router of many sees
-constexpr double kPaceFade = 0.997; // a beat: what warm hosts took is remembered while none are left
+constexpr double kPaceRate = 0.02, kFade = 0.997, kComeAgain = 0.6; // a beat; turned away: tried again
 constexpr Ticks kNewcomer = 20000; // before so long a router does not know its best rate
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
 constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
@@ -143,31 +142,23 @@
         if (beat_at == 0) ask_at = now + static_cast<Ticks>(ask_span() * rng.unit());
         beat_at = now + kBeat;
         pools_due = true;
-        count_traffic(kTrafficRate);
+        count_traffic(kTrafficRate, kComeAgain);
         forget_evidence(now - kEvidenceAge, kReleasePicks);
         forget_flows();
         while (allowed.size() > kMostAllowed) allowed.erase(allowed.begin());
         measure_fleet(kColdSkip);
-        // Spread over a whole side's hosts its traffic is what a warm one serves. Stops a router that starts
-        // among cold hosts, and has seen no warm one serve, from pushing back what they could take.
         const double warm = warm_rating();
-        places = std::max({places * kPaceFade, rating_of(false), rating_of(true)});
-        const double served_pace = warm > 0 ? warm_served.size() / warm : pace;
-        if (!many()) {
-            if (places > 0) pace = std::max(pace, untried / places);
-            pace = std::max(pace * kPaceFade, pace + (served_pace - pace) * 0.05);
-        } else if (paced > 0 || !warm_served.empty()) {
-            // Little traffic has peaks that are chance, and in a collapse most of it is retries. Stops a
-            // fleet from taking either for what its hosts can do, and from pushing over one cold host after
-            // the other.
-            pace += (served_pace - pace) * std::max(kPaceRate, 1.0 / ++paced);
-        } else if (places > 0) {
-            pace = std::max(0.0, untried) / places;
-        }
+        places = std::max({places * kFade, rating_of(false), rating_of(true)});
+        // What a warm host serves; before any was seen to, the traffic over a whole side's hosts. Little
+        // traffic has peaks that are chance, and in a collapse most is retries: stops a fleet from taking
+        // either for what hosts can do, and from pushing over one cold host after the other.
+        if (paced <= 0 && warm_served.empty() && places > 0) pace = std::max(0.0, untried) / places;
+        if ((paced > 0 || !warm_served.empty()) && warm > 0)
+            pace += (warm_served.size() / warm - pace) * std::max(kPaceRate, 1.0 / ++paced);
         lately.traffic = std::max(traffic, lately.traffic * kPeakFade);
         const Count served = count_earlier();
         if (served.picks >= kBackPairs && !(watching() && released_at >= 0)) earlier_fails = served.share();
-        best_rate = std::max(best_rate * kPaceFade, best_rate + (answered.size() - best_rate) * kRateRise);
+        best_rate = std::max(best_rate * kFade, best_rate + (answered.size() - best_rate) * kRateRise);
         wait = best_rate > 0 && now > born + kNewcomer ? pending / best_rate * 10000 : 0;
         bend_limit();
     }
@@ -177,8 +168,7 @@
     // A jam makes every method and every tenant late: what is late alone waits for a cause of its own.
     void bend_limit() {
         const double late = least_late(lateness.size(), now - kLateSpan * 4);
-        // A router of many has few open: there the limit goes on under one, as a chance to have one.
-        const double least = many() ? kLeastLimit : 4;
+        const double least = many() ? kLeastLimit : 4; // under one: a chance to have one, where few are open
         if (late > kLateHigh) {
             if (limit <= 0) log("limit on: open %.0f lateness %.2f of %.2f", open, late, kLateHigh);
             limit = std::max(least, (limit > 0 ? std::min<double>(limit, open) : open) * kCutLimit);
@@ -276,12 +266,8 @@
         const Pick &pick = rpc.picks[number];
         note_report(hosts[pick.host], report);
         learn(rpc, pick);
-        // A copy that comes after the answer holds the key as well: its build has answered it.
         if (outcome == Outcome::ok && !rpc.done) of(pick.build).answers += 1, answered.push_back(now);
-        // The list may tell of another process there by now, whose build counts.
-        const int build = std::max(pick.build, hosts[pick.host].entry.build);
-        if (outcome == Outcome::ok && terms.rollout.keys_stay && build > least_build && !going_back(build))
-            of(build).keys.insert(rpc.from.key);
+        if (outcome == Outcome::ok && terms.rollout.keys_stay) hold_key(rpc, pick);
         if (complete || outcome == Outcome::ok) settle(rpc);
         judge_pair(rpc);
         enqueue(rpc);
@@ -336,8 +322,8 @@
         const double warm = warmth(host);
         if (warm >= 1) return true;
         forget(host.pushed, std::max(now - terms.overload_for, host.entry.started));
-        const double part = pace * rating(host) * terms.overload_for / 10000.0;
-        const double allowed = kColdSafety * terms.overload_multiple * warm * part;
+        const double part = warm * pace * rating(host) * terms.overload_for / 10000.0;
+        const double allowed = kColdSafety * terms.overload_multiple * part;
         const auto sent = static_cast<double>(host.pushed.size());
         return sent + 1 <= std::max(kColdFloor / terms.instances, allowed) + host.dice;
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -252,7 +252,7 @@
     double limit = 0; // of open picks; 0: none needed so far
     double pace = 0; // picks a second at warm hosts, for each unit of rating
     int paced = 0; // beats that it stands on, where routers are many
-    double untried = 0; // first tries a second less those turned away, which come again
+    double untried = 0; // tries a second, less the part of those turned away that comes again
     int turned_away = 0; // since it was last counted
     double places = 0; // rating of the hosts of a whole side, as many as there were of late
     std::deque<Ticks> warm_served;
@@ -623,6 +623,14 @@
         return word;
     }
 
+    // Its build has answered the key: a copy too that comes after the answer. The list may tell of another
+    // process there by now, whose build counts; one that goes back holds none.
+    void hold_key(const Rpc &rpc, const Pick &pick) {
+        const int build = std::max(pick.build, hosts[pick.host].entry.build);
+        if (!going_back(build) && (on_trial(build) || build > least_build))
+            of(build).keys.insert(rpc.from.key);
+    }
+
     // The own word and what peers told of themselves since then; or one's sum of more of them.
     Word pooled(Ticks told_since, Word own) const {
         const Word *sum = nullptr;
@@ -761,10 +769,10 @@
         lately.sound = sound[0] + sound[1];
     }
 
-    void count_traffic(double rate) {
+    void count_traffic(double rate, double again) {
         const double span = static_cast<double>(std::max<Ticks>(1, now - traffic_at)) / 10000;
         traffic += (arrivals / span - traffic) * rate;
-        untried += ((arrivals - turned_away) / span - untried) * rate;
+        untried += ((arrivals - again * turned_away) / span - untried) * rate;
         arrivals = turned_away = 0;
         traffic_at = now;
         if (born < 0) born = now;
--- a/tests/shape_test.cpp
+++ b/tests/shape_test.cpp
@@ -269,9 +269,76 @@
     assert(asked >= 600 && refused < 60);
 }
 
+// Keys are held by each newer build: by one that no news names yet, while the news still tells of one taken
+// off before it; by one that is released, while the list shows older hosts; not by one that goes back.
+void each_newer_build_holds_its_keys() {
+    enum { unannounced, released, back };
+    for (const int what : {unannounced, released, back}) {
+        Terms given = terms(Repeat::idempotent);
+        given.rollout.keys_stay = true;
+        Bench bench(given);
+        bench.news(what == unannounced ? 3 : 4, 1, what == unannounced ? Phase::withdrawn : Phase::on_trial,
+                   1);
+        bench.host("new", 4);
+        if (what == released) bench.host("old", 2), bench.news(4, 1, Phase::released, 1);
+        if (what == released) bench.router->list({{"old", 0, 0, 0, 2, Standing::draining, 1, 0}}, false);
+        if (what == released) bench.host("older", 1);
+        bench.arrive("r", 10000, "k");
+        const auto first = bench.pull(Act::pick);
+        assert(first.size() == 1);
+        bench.end("r", 0, Outcome::ok, true);
+        if (what != released || first[0].host == "new") {
+            if (what == back) bench.news(4, 1, Phase::going_back, 0);
+            bench.host("old", 2);
+            bench.drain("new");
+            if (what == released) bench.drain("older");
+            bench.arrive("s", 10000, "k");
+            assert(bench.pull(Act::pick).empty() == (what != back));
+        }
+    }
+}
+
+// A fleet's hosts die, others start cold, and clients come eight times a second where they came once: what
+// all its routers send a cold host stays under twice what a warm one of its size took before.
+void a_collapse_raises_no_allowance() {
+    constexpr int kRouters = 20, kHosts = 20, kCold = 10;
+    Terms given = many(kRouters);
+    given.cold_share = 0.41, given.overload_multiple = 2, given.overload_for = 15000, given.cold_for = 50000;
+    int sent = 0;
+    for (int router = 0; router < kRouters; ++router) {
+        Bench bench(given);
+        bench.router = make_router(given, router);
+        for (int i = 0; i < kHosts; ++i) bench.host("w" + std::to_string(i), 1);
+        int next = 0;
+        const auto second = [&](int rpcs, bool served) {
+            for (int i = 0; i < rpcs; ++i) {
+                bench.at(bench.clock + 10000 / rpcs);
+                const std::string id = std::to_string(next++) + "c";
+                bench.arrive(id, bench.clock + 9000);
+                int pick = 0;
+                for (auto picks = bench.pull(Act::pick); !picks.empty(); picks = bench.pull(Act::pick)) {
+                    sent += picks[0].host[0] == 'c';
+                    bench.router->ended(id, pick++, served ? Outcome::ok : Outcome::fault, 800, served, {});
+                }
+            }
+        };
+        for (int s = 0; s < 30; ++s) second(1, true);
+        for (int i = 0; i < kHosts; ++i)
+            bench.router->list({{"w" + std::to_string(i), 0, 0, 0, 1, Standing::gone, 1, 0}}, false);
+        for (int s = 0; s < 10; ++s) second(8, true);
+        for (int i = 0; i < kCold; ++i) bench.host("c" + std::to_string(i), 1, bench.clock);
+        for (int s = 0; s < 4; ++s) second(8, false);
+    }
+    // One a second for each host was 0.6 of what it can do. Over four seconds one that starts at 0.41 and is
+    // warm after five can do 0.65 of that on average, and stands twice as much.
+    assert(sent <= 2 * 0.65 * 4 / 0.6 * kCold);
+}
+
 } // namespace
 
 int main() {
+    each_newer_build_holds_its_keys();
+    a_collapse_raises_no_allowance();
     one_method_failing_alone_is_the_build();
     a_method_failing_everywhere_is_not_the_build();
     failures_without_a_control_need_more();
