The share drawn for a trial counts its hosts' coldness again, for many routers too

Tried and taken back: sending cold hosts 1.6 times their usual at most (122 turned away: the warm trial hosts then took what the cold denied, 5.0 times the mean at the busiest).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -107,9 +107,7 @@
             const auto kind = kind_excess.find(host.entry.kind);
             host.weight = rating(host) * warmth(host);
             if (kind != kind_excess.end()) host.weight *= std::exp(-kind->second);
-            // Many routers bound what each cold host gets by chance: their draws need not allow for it too.
-            if (usable(host) && well(host))
-                sound[on_trial(host.entry.build)] += many() ? host.weight / warmth(host) : host.weight;
+            if (usable(host) && well(host)) sound[on_trial(host.entry.build)] += host.weight;
         }
         fill_pools(now - kReportAge, kRingPoints, kPoolRate, kLoadRate);
     }
