Hosts of a withdrawn build get nothing, though a late list shows them: drains broken on herd

Seen with debug lines: half of 306 routers have no list between 19.0 s and 25.0 s (calls turned away from 17 s on, 214 restarted at 20.8 s); the hosts are those of 465, withdrawn, drained at 19.02 s. Once 466 was offered, a lower build was an earlier one like any other (on_trial, usable). Its test fails without the line.

--- a/src/state.hpp
+++ b/src/state.hpp
@@ -273,6 +273,7 @@
     double earlier_fails = 0;
     double barred = 0; // share of new connections that were not had, of late
     double breaks = 0; // share of the earlier builds' picks whose connection broke, of late
+    std::set<int> sent_back; // builds withdrawn: their hosts drain, though a late list shows them
     News known{};
     bool has_news = false;
     Ticks stage_at = 0, voted_at = 0, judge_at = 0;
@@ -290,7 +291,10 @@
     }
     bool trial_runs() const { return has_news && known.phase == Phase::on_trial; }
     bool watching() const { return has_news && known.phase == Phase::released; }
-    bool usable(const Host &host) const { return host.listed && host.entry.standing == Standing::ready; }
+    bool usable(const Host &host) const {
+        return host.listed && host.entry.standing == Standing::ready &&
+               sent_back.count(host.entry.build) == 0;
+    }
     bool usable_earlier(const Host &host) const { return usable(host) && !on_trial(host.entry.build); }
     const Method &method_of(const Rpc &rpc) const { return terms.methods[rpc.from.method]; }
 
@@ -468,6 +472,8 @@
             if (told.phase != Phase::on_trial) of(told.build).range.clear();
             if (told.phase == Phase::going_back || told.phase == Phase::withdrawn)
                 of(told.build).keys.clear();
+            // Numbers only grow: it is done with.
+            if (told.phase == Phase::withdrawn) sent_back.insert(told.build);
         }
         known = told;
         has_news = true;
--- a/tests/shape_test.cpp
+++ b/tests/shape_test.cpp
@@ -298,6 +298,25 @@
     }
 }
 
+// A build was withdrawn and the next is on trial, while a late list still shows the withdrawn one's hosts as
+// ready: they drain, and get nothing.
+void hosts_of_a_withdrawn_build_get_nothing() {
+    Bench bench(terms(Repeat::idempotent));
+    bench.host("withdrawn", 2);
+    bench.news(2, 1, Phase::on_trial, 1);
+    bench.arrive("r", 10000);
+    assert(bench.pull(Act::pick).size() == 1);
+    bench.news(2, 1, Phase::going_back, 0);
+    bench.news(2, 1, Phase::withdrawn, 0);
+    bench.news(3, 0, Phase::on_trial, 0.1);
+    bench.arrive("s", 10000);
+    assert(bench.pull(Act::pick).empty());
+    bench.host("earlier", 1);
+    bench.arrive("t", 10000);
+    const auto picks = bench.pull(Act::pick);
+    assert(picks.size() == 1 && picks[0].host == "earlier");
+}
+
 // A fleet's hosts die, others start cold, and clients come eight times a second where they came once: what
 // all its routers send a cold host stays under twice what a warm one of its size took before.
 void a_collapse_raises_no_allowance() {
@@ -339,6 +358,7 @@
 int main() {
     each_newer_build_holds_its_keys();
     a_collapse_raises_no_allowance();
+    hosts_of_a_withdrawn_build_get_nothing();
     one_method_failing_alone_is_the_build();
     a_method_failing_everywhere_is_not_the_build();
     failures_without_a_control_need_more();
