--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -307,8 +307,8 @@
     ++rpc.under_way;
     rpc.picks.push_back(
         hosts_.send(made.host, rpc.held, made.span, latest_for(rpc),
-                    [this, id = made.rpc, pick, build = hosts_.build_of(made.host),
-                     sent = now_](hosts::Ending ending) { ended(id, pick, build, sent, ending); }));
+                    [this, id = made.rpc, pick, host = made.host, build = hosts_.build_of(made.host),
+                     sent = now_](hosts::Ending ending) { ended(id, pick, host, build, sent, ending); }));
     if (rpc.first_sent < 0) rpc.first_sent = now_;
 }
 
@@ -322,7 +322,8 @@
                                                                        unix_began_.time_since_epoch());
 }
 
-void Driver::ended(const std::string &id, int pick, int build, Ticks sent, const hosts::Ending &ending) {
+void Driver::ended(const std::string &id, int pick, const std::string &host, int build, Ticks sent,
+                   const hosts::Ending &ending) {
     Router &to = module();
     Rpc &rpc = rpcs_.at(id);
     rpc.picks.at(pick).reset();
@@ -335,8 +336,8 @@
         hosts_.withdraw_key(rpc.held->asked.key, build);
     if (ending.outcome == Outcome::ok) answer(rpc, ending.value);
     to.ended(id, pick, ending.outcome, now_ - sent, rpc.finished, ending.report);
-    log_(Level::debug, "ended ", id, " pick ", pick, " outcome ", static_cast<int>(ending.outcome), " after ",
-         (now_ - sent) / 10, " ms");
+    log_(Level::debug, "ended ", id, " pick ", pick, " at ", host, " outcome ",
+         static_cast<int>(ending.outcome), " after ", (now_ - sent) / 10, " ms");
     forget_if_over(id);
 }
 
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -53,7 +53,8 @@
     void pull();
     void carry_out(const Decision &decision);
     void send(const Decision &decision);
-    void ended(const std::string &id, int pick, int build, Ticks sent, const hosts::Ending &ending);
+    void ended(const std::string &id, int pick, const std::string &host, int build, Ticks sent,
+               const hosts::Ending &ending);
     Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
     void answer(Rpc &rpc, std::string bytes);
     void withdraw(const Rpc &rpc); // what has not left
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -120,7 +120,12 @@
         whole ? "/v1/endpoints"
               : "/v1/endpoints?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(hold.count());
     const Span wait = whole || at_once ? limits.list_whole : hold + limits.list_grace;
+    const auto asked = std::chrono::steady_clock::now();
+    log_(Level::debug, "list: call ", ++calls_, " ", path);
     const http::Call got = co_await link_.call("GET", path, "", wait, true, answer);
+    const auto took = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - asked);
+    log_(Level::debug, "list: call ", calls_, " ended ", static_cast<int>(got), " status ",
+         answer.done() ? answer.status() : 0, " after ", took.count(), " ms");
     if (answer.bad() || (answer.begun() && !answer.done())) wrong("list", "an answer that cannot be read");
     if (got != http::Call::answered) co_return "no answer";
     if (answer.status() != 200) co_return "status " + std::to_string(answer.status());
--- a/src/router/list/watch.hpp
+++ b/src/router/list/watch.hpp
@@ -49,6 +49,7 @@
     asio::steady_timer told_by_; // runs while something counts as told soon that has not come
     asio::steady_timer pause_;
     std::int64_t version_ = 0, answers_ = 0;
+    std::uint64_t calls_ = 0; // asked so far; names a call in the log
     bool running_ = false, whole_due_ = false, waits_told_ = false, is_overdue_ = false, first_over_ = false;
     bool said_ = false; // that calls fail
     bool moved_ = false, at_once_ = false; // the next call is not to wait
