--- a/standins/host/host.cpp
+++ b/standins/host/host.cpp
@@ -31,16 +31,18 @@
 asio::awaitable<void> Host::serve(asio::ip::tcp::socket socket) {
     std::string heard, room(16384, '\0');
     asio::steady_timer timer(io_);
+    std::int64_t begun = 0;
     for (;;) {
         const auto [failed, size] =
             co_await socket.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
         if (failed) co_return;
+        if (heard.empty()) begun = now_();
         heard.append(room, 0, size);
         resp::Value value;
         while (resp::scan(heard, {65536, 16, 4, 1024}, value) == resp::Scan::whole) {
             std::vector<std::string_view> words;
             for (const resp::Value &item : value.items) words.push_back(item.body);
-            const std::string reply = answer(words);
+            const std::string reply = answer(words, begun);
             heard.erase(0, value.raw.size());
             timer.expires_after(takes);
             co_await timer.async_wait(as_tuple(use_awaitable));
@@ -51,9 +53,9 @@
     }
 }
 
-std::string Host::answer(const std::vector<std::string_view> &words) {
+std::string Host::answer(const std::vector<std::string_view> &words, std::int64_t begun) {
     if (words.size() < 4) return "-SYNTAX\r\n";
-    PickRow row{now_(), id, std::string(words[2]), std::string(words[1]), "", "", build};
+    PickRow row{now_(), begun, id, std::string(words[2]), std::string(words[1]), "", "", build};
     std::string_view names = words[3];
     while (!names.empty()) {
         const std::string_view one = names.substr(0, names.find(','));
--- a/standins/host/host.hpp
+++ b/standins/host/host.hpp
@@ -18,6 +18,7 @@
 // One pick whose last byte has come.
 struct PickRow {
     std::int64_t at = 0; // ms since the Unix epoch
+    std::int64_t begun = 0; // when its first byte came
     std::string host, rpc, key, method, customer;
     int build = 0;
 };
@@ -42,7 +43,7 @@
   private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
-    std::string answer(const std::vector<std::string_view> &words);
+    std::string answer(const std::vector<std::string_view> &words, std::int64_t begun);
 
     asio::io_context &io_;
     asio::ip::tcp::acceptor acceptor_;
