The list of hosts is held under a lease; nothing is sent past it by a list of unknown age

Cause (class: a cached membership view without a lease): a list was used whatever its age. Driver::begin took `known` as if it were fresh, the first call came up to 4 s later (ask_span); a failed call left the old list in use and the next one 4 to 12 s away (list_failed: 4 s doubling, and 4 s of spread); no clock ran for a refused or failed call, a restart, or an answer that was cut. Only silent watches and moves had one (count_told_in).

Change: membership::Lease (no I/O, fed with times) says up to when the list is complete enough to send by; Watch tells it of each call; hosts check it where the first byte is written; the module answers at once where it is over. A process starts without one and takes clients once discovery has answered (8 s at most). The next call is timed by what is left of the lease. Where discovery ended a watch and all calls since failed, an outage is presumed: hosts of the build that stays and that have failed nothing go on, others get nothing. A router is new from its first RPC on.

Replaced checks: routers that were fed no answer at all in owed and socket tests now get one and then silence, as a list of unknown age serves nobody; the watches test leaves out calls that do not wait. The stand-in discovery heeds hold_ms.

Trial of hosts' answers: draining hosts go on serving, so an answer proves nothing.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -67,6 +67,13 @@
     Span list_hold{20000}; // a watch's wait at the most, half of it at the least
     Span list_grace{500}; // over its wait, before a watch is silent
     Span list_told{2000}; // over its wait, what a silent watch has missed counts as told
+    Span list_lease{6000}; // after discovery had it, a change counts as told, whatever calls come to
+    Span list_partial_told{150}; // after an answer's first byte what it holds counts, read whole or not
+    Span list_transit{250}; // from an answer's writing until its first byte is read, at most
+    Span list_stands{5000}; // a watch that has not ended by then was accepted by discovery
+    Span list_outage{5000}; // after a failed call left, discovery is presumed to be down still
+    Span list_line{1500}; // discovery turns no call away after a wait shorter than this
+    Span list_ready{8000}; // the first answer is waited for before clients are taken
     Span list_moved_told{4000}; // after discovery has moved, whatever it has to tell does
     Span list_whole{2500}; // for the whole list
     Span list_again{
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -92,8 +92,11 @@
 constexpr double kColdSafety = 0.8, kColdFloor = 2; // of the push a cold host stands; picks all may send
 constexpr Ticks kBeat = 1000, kPause = 3000; // between looks at standing matters; advice when to return
 constexpr std::size_t kMostAllowed = 256; // builds with shares by cell; beyond, the oldest numbers go
-constexpr Ticks kAskAgain = 8000; // least wait after a failed call for the list; doubles up to four times
-constexpr Ticks kAskEach = 300, kAskSpread = 40000; // width of a fleet's calls for each router; at most
+constexpr Ticks kAskAgain = 8000; // least wait after a failed call for the list
+constexpr Ticks kAskEach = 300, kAskSpread = 30000; // width of a fleet's calls for each router; at most
+constexpr Ticks kCallTakes = 22000; // a call that discovery keeps waiting has failed by then
+constexpr int kPatientCalls = 4; // failed ones in a row, before the waits grow
+constexpr double kAskGrowth = 1.5, kAskGrowthMost = 4; // of the waits, each time; at most
 
 class Decider final : public Instance {
   public:
@@ -336,9 +339,20 @@
         });
     }
 
+    // Rule 3: a list past its lease names no host to send to. Stops picks at hosts drained unheard. While
+    // discovery is presumed to be down, hosts that nothing speaks against go on: of the build that stays, as
+    // those of older ones drain after a release and those of the trial when it is withdrawn, and that have
+    // failed no pick. Stops an outage from ending all service; may send to a host drained for another reason
+    // where discovery is back and too crowded to say so.
+    bool listed_still(const Host &host) const {
+        if (list_holds()) return true;
+        return outage() && host.misses == 0 && host.entry.build == staying_build;
+    }
+
     bool eligible(const Rpc &rpc, Host &host, bool trial) {
-        return usable(host) && on_trial(host.entry.build) == trial && keys_allow(rpc, host.entry.build) &&
-               may_repeat(rpc, host) && room_in_cold(host) && room_in_cell(rpc, host.entry.build) &&
+        return listed_still(host) && usable(host) && on_trial(host.entry.build) == trial &&
+               keys_allow(rpc, host.entry.build) && may_repeat(rpc, host) && room_in_cold(host) &&
+               room_in_cell(rpc, host.entry.build) &&
                (!trial || room_on_trial(host.entry.build, rpc.from.method));
     }
 
@@ -834,14 +848,20 @@
     }
 
     // Discovery works through the calls of all routers one at a time, also those that have been given up. The
-    // more routers, the wider and the rarer each spreads its calls. Stops a fleet that starts in one instant
-    // from keeping that line full for itself, and the news of standing watches behind it.
+    // more routers, the wider each spreads its calls. Stops a fleet that starts in one instant from keeping
+    // that line full for itself, and the news of standing watches behind it.
     Ticks ask_span() const { return std::min(kAskSpread, kAskEach * terms.instances); }
 
-    void list_failed() override {
-        const Ticks least = std::max(kAskAgain, ask_span());
-        ask_wait = std::clamp(ask_wait * 2, least, least * 4);
-        ask_at = now + ask_wait + static_cast<Ticks>(std::max<Ticks>(ask_wait / 4, ask_span()) * rng.unit());
+    // While the lease runs the next call leaves in time to renew it; the less is left, the sooner. Once it is
+    // over nothing is served until one succeeds, yet all other routers are in the same plight: calls are
+    // spread as widely as the line needs, and ever wider only after several have failed. Costs discovery one
+    // call each few seconds of every router through an outage.
+    void list_failed(Ticks lease_left) override {
+        const double growth = std::pow(kAskGrowth, std::max(0, ++failed_calls - kPatientCalls));
+        Ticks span = ask_span();
+        if (lease_left >= 0) span = std::min(span, std::max(kAskAgain, lease_left - kCallTakes));
+        const double wait = kAskAgain + static_cast<double>(span) * rng.unit();
+        ask_at = now + static_cast<Ticks>(wait * std::min(growth, kAskGrowthMost));
     }
 
     Decision next() override {
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -137,7 +138,11 @@
     // Inputs: each only updates what is known.
     virtual void clock(Ticks now) = 0;
     virtual void list(const std::vector<HostEntry> &entries, bool whole) = 0;
-    virtual void list_failed() = 0;
+    // A call for the list has failed; its lease leaves so long (below 0: it is over, or none is kept).
+    virtual void list_failed(Ticks lease_left) = 0;
+    // The list holds up to then: past it each host may have been drained unheard. Not told: for good. Past it
+    // and up to `outage_until` discovery is presumed to be down, and to drain nothing.
+    virtual void list_lease(Ticks until, Ticks outage_until) = 0;
     virtual void arrived(Arrival arrival) = 0;
     virtual void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
                        const std::vector<double> &report) = 0;
--- /dev/null
+++ b/src/membership/lease.hpp
@@ -0,0 +1,96 @@
+// The lease on a list of hosts: up to when a router may go on using the list it holds. Every change that
+// discovery has made counts as told to a router after a bounded time, whether or not it arrived; past that
+// time a host on the list may have been drained, and nothing may be sent by it. One rule for all ways in
+// which calls end: the list is known to be complete as of some instant, and the lease runs from there. Fed
+// with what the caller did and saw; reads no clock and does no I/O. Not safe for threads.
+//
+// Past the lease there is one lesser state, an outage. Discovery that goes down ends the watches that stood;
+// nothing counts while it is down, and a change counts as told only some time after its return. A router
+// whose watch was ended, and whose every call since has failed, presumes that this goes on. It cannot tell
+// that from a discovery that has returned and is too crowded to answer: what is sent meanwhile has to be
+// chosen as if some drains had gone unheard.
+//
+// Source: the standing test's page ("one clock for silence" and the sentence behind it), the protocol page.
+#pragma once
+
+#include "base/limits.hpp"
+
+#include <chrono>
+#include <optional>
+
+namespace pineridge::membership {
+
+using Instant = std::chrono::steady_clock::time_point; // of the monotonic clock
+
+struct LeaseRules {
+    Span told_after; // a change counts as told at the latest so long after discovery had it
+    Span watch_overrun; // what a watch that fell silent has missed counts so long after its wait is over
+    Span moved_told; // whatever a discovery at a new address has to tell counts after this
+    Span partial_told; // what an answer holds counts so long after its first byte, read whole or not
+    Span transit; // from an answer's writing until its first byte is read, at most
+    Span stands_after; // a watch that has not ended by then was accepted, and does not wait in a line
+    Span line_least; // a call that fails sooner has not been turned away after a wait in a line
+    Span outage_lasts; // after a failed call left, discovery is presumed to be down still
+    bool lapses_on_failure = true; // false: an agent beside the router, which learns nothing while it fails
+};
+
+// How a call ended that brought no usable answer.
+enum class CallFailure {
+    refused, // answered, with an error
+    unreached, // no connection could be had: tells nothing of discovery, as the cause may lie here
+    broken, // the connection ended, before any byte of an answer
+    silent, // nothing came in the time allowed
+    unreadable, // bytes came that are no whole, sound answer
+};
+
+class Lease {
+  public:
+    explicit Lease(const LeaseRules &rules) : rules_(rules) {}
+
+    // A call leaves. `hold`: how long discovery may keep it waiting for a change; none: it answers at once.
+    void asked(Instant now, std::optional<Span> hold);
+    void answer_begun(Instant now); // its first byte has been read
+    void answered(); // it was read whole, and the list brought up to it
+    void failed(CallFailure failure, Instant now);
+    void moved(Instant now); // discovery is to be had at another address from now on
+    // The watch that is out has not ended. Without this call it is not taken to stand.
+    void still_open(Instant now);
+
+    // Nothing may be sent by the list after this. The clock's minimum before the first answer: the age of a
+    // list that a process was started with is not known.
+    Instant expires() const;
+    bool holds(Instant now) const { return now <= expires(); }
+    // In an outage: up to when it is presumed to last. The clock's minimum outside of one.
+    Instant outage_until() const;
+    Span stands_after() const { return rules_.stands_after; }
+
+  private:
+    struct Call {
+        Instant asked;
+        std::optional<Span> hold;
+        std::optional<Instant> begun{};
+        bool stands = false;
+    };
+
+    // A watch that was ended, neither so late that it must have stood nor so soon that it cannot have waited
+    // in a line. How long discovery lets calls wait, as the next failure shows, tells.
+    struct UnclearEnd {
+        Instant ended;
+        std::chrono::nanoseconds open;
+    };
+
+    void complete_as_of(Instant at);
+    void watch_ended(const Call &call, CallFailure failure, Instant now);
+    void clear_up(const Call &call, Instant now);
+    Instant silent_bound(const Call &call) const { return call.asked + *call.hold + rules_.watch_overrun; }
+
+    const LeaseRules rules_;
+    std::optional<Call> call_; // the one under way
+    std::optional<Instant> complete_at_; // the list lacks no change that discovery had by then
+    std::optional<Instant> silent_until_; // bound of a watch that fell silent, until the next answer
+    std::optional<UnclearEnd> unclear_;
+    std::optional<Instant> down_at_; // in an outage: when discovery was last found to be down
+    Instant revoked_at_ = Instant::max(); // something unread, or of another address, counts from then on
+};
+
+} // namespace pineridge::membership
--- a/src/net/http/link.cpp
+++ b/src/net/http/link.cpp
@@ -84,7 +84,10 @@
             break;
         }
         // Stops an answer that breaks off from being waited for as long as a good one may be held.
-        if (!answer.begun()) fuse_.light(socket_, std::min(wait, limits_.answer_rest));
+        if (!answer.begun()) {
+            fuse_.light(socket_, std::min(wait, limits_.answer_rest));
+            if (first_byte_) first_byte_();
+        }
         answer.feed({room.data(), size});
     }
     fuse_.put_out();
--- a/src/net/http/link.hpp
+++ b/src/net/http/link.hpp
@@ -6,6 +6,7 @@
 #include "net/fuse.hpp"
 #include "net/http/http.hpp"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -25,6 +26,8 @@
     asio::awaitable<Call> call(std::string_view method, std::string_view path, std::string_view body,
                                Span wait, bool resend, Answer &answer);
     void close();
+    bool timed_out() const { return fuse_.blown(); } // the last call ended because its time was over
+    void on_first_byte(std::function<void()> read) { first_byte_ = std::move(read); } // of each answer
 
     // The service is to be had elsewhere from now on: the call under way ends as unclear. False where nothing
     // changes.
@@ -40,6 +43,7 @@
     const Limits &limits_;
     asio::ip::tcp::socket socket_;
     Fuse fuse_;
+    std::function<void()> first_byte_;
 };
 
 // The head of a call and its body, written by one gathered write.
--- a/src/rehearsal/rehearsal.cpp
+++ b/src/rehearsal/rehearsal.cpp
@@ -25,9 +25,14 @@
     }
 }
 
-void Rehearsal::list_failed() {
-    module_->list_failed();
-    other_->list_failed();
+void Rehearsal::list_failed(Ticks lease_left) {
+    module_->list_failed(lease_left);
+    other_->list_failed(lease_left);
+}
+
+void Rehearsal::list_lease(Ticks until, Ticks outage_until) {
+    module_->list_lease(until, outage_until);
+    other_->list_lease(until, outage_until);
 }
 
 void Rehearsal::arrived(Arrival arrival) {
--- a/src/rehearsal/rehearsal.hpp
+++ b/src/rehearsal/rehearsal.hpp
@@ -32,7 +32,8 @@
 
     void clock(Ticks now) override;
     void list(const std::vector<HostEntry> &entries, bool whole) override;
-    void list_failed() override;
+    void list_failed(Ticks lease_left) override;
+    void list_lease(Ticks until, Ticks outage_until) override;
     void arrived(Arrival arrival) override;
     void ended(const std::string &rpc, int pick, Outcome outcome, Ticks took, bool complete,
                const std::vector<double> &report) override;
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -30,7 +30,8 @@
       hosts_(io, start, log, ledger_), clients_(io, start, log, ledger_, *this),
       watch_(
           io, start, log, [this](const membership::Listing &listing) { take_list(listing); },
-          [this] { module().list_failed(); }, [this](bool overdue) { hosts_.go_blind(overdue); }),
+          [this](Span left) { module().list_failed(std::chrono::duration_cast<Tick>(left).count()); },
+          [this](Instant until, Instant outage_until) { take_lease(until, outage_until); }),
       stream_(io, start, log, [this](const rollout::Told &told) { take_told(told); }),
       votes_(io, start, log, [this](const News &news) { take_news(news); }), wake_(io), leave_(io),
       unix_began_(std::chrono::system_clock::now()), began_(std::chrono::steady_clock::now()) {
@@ -57,8 +58,9 @@
     if (!start_.known.is_null() && !start_.registry) {
         list::Listing known = list::read_listing(start_.known, start_.names);
         known.whole = true;
-        watch_.take(known);
+        watch_.start_from(known);
     }
+    if (start_.registry) take_lease(Instant::max(), Instant::min()); // its view keeps its own rules
     if (!start_.news.is_null()) take_news(rollout::read_news(start_.news));
     pull();
     asio::co_spawn(io_, serve(), [](const std::exception_ptr &failed) {
@@ -70,9 +72,10 @@
     if (start_.registry) begin_registry();
     if (office_) office_->begin();
     stream_.begin();
-    // What an agent has counts as told from this process's first moment. Stops its first picks from going to
-    // hosts that have drained since the list it was given.
-    if (start_.list_at_hand && !start_.registry) co_await watch_.first();
+    // The age of the list that this process was started with is not known: nothing is sent before discovery
+    // has answered. Clients are taken a little later rather than turned away.
+    if (start_.list_at_hand && !start_.registry) watch_.begin();
+    if (!start_.registry) co_await watch_.wait_for_lease(start_.limits.list_ready);
     if (start_.registry) co_await wait_for_hosts();
     co_await hosts_.warm_up();
     co_await listen();
@@ -165,9 +168,12 @@
     }
 }
 
-Ticks Driver::time() const {
-    const auto since = std::chrono::steady_clock::now() - began_;
-    return std::chrono::floor<Tick>(unix_began_.time_since_epoch() + since).count();
+Ticks Driver::time() const { return ticks_at(std::chrono::steady_clock::now()); }
+
+Ticks Driver::ticks_at(Instant at) const {
+    if (at == Instant::max()) return std::numeric_limits<Ticks>::max();
+    if (at == Instant::min()) return std::numeric_limits<Ticks>::min();
+    return std::chrono::floor<Tick>(unix_began_.time_since_epoch() + (at - began_)).count();
 }
 
 Router &Driver::module() {
@@ -365,6 +371,11 @@
     log_(Level::debug, "list: entries ", entries.size());
 }
 
+void Driver::take_lease(Instant until, Instant outage_until) {
+    hosts_.lease_until(until, outage_until);
+    module().list_lease(ticks_at(until), ticks_at(outage_until));
+}
+
 // The list comes from a registry: each change of its view as a change of discovery's would.
 void Driver::begin_registry() {
     const auto read = [this](const std::string &, std::string_view value) {
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -29,6 +29,8 @@
     void move(const Address &discovery, const Address &platform); // where these are to be had from now on
 
   private:
+    using Instant = std::chrono::steady_clock::time_point;
+
     struct Rpc {
         clients::Reply reply;
         std::shared_ptr<const clients::Held> held;
@@ -56,6 +58,7 @@
     void ended(const std::string &id, int pick, const std::string &host, int build, Ticks sent,
                const hosts::Ending &ending);
     Ticks time() const; // since the Unix epoch, so that a host's start is on the same clock; never goes back
+    Ticks ticks_at(Instant at) const; // on that clock
     void answer(Rpc &rpc, std::string bytes);
     void withdraw(const Rpc &rpc); // what has not left
     void answer_all(); // the process may be killed at any moment now
@@ -65,6 +68,7 @@
     void over(Rpc &rpc, bool served);
     void forget_if_over(const std::string &id);
     void take_list(const membership::Listing &listing);
+    void take_lease(Instant until, Instant outage_until); // on the list
     void begin_registry();
     void take_told(const rollout::Told &told);
     void take_news(News news);
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -20,7 +20,8 @@
          std::optional<Clock::time_point> latest, Ended ended)
         : home_(home), id_(std::move(id)), held_(std::move(held)),
           until_(Clock::now() + std::chrono::microseconds(span * 100)), latest_(latest),
-          ended_(std::move(ended)), fuse_(home.io_.get_executor()), handed_(home.io_) {
+          ended_(std::move(ended)), past_lease_(!home.lease_holds()), fuse_(home.io_.get_executor()),
+          handed_(home.io_) {
         const auto at = home_.places_.find(id_);
         process_ = at == home_.places_.end() ? 0 : at->second.process;
     }
@@ -86,7 +87,8 @@
         for (bool fresh = false;; fresh = true) {
             Hosts::Place *const place = here();
             // Drained, gone or another process since the pick was decided: nothing of it has been sent.
-            if (!place || !place->ready || cut_ || home_.blind_) co_return Ending{Outcome::stale};
+            if (!place || !place->ready || cut_ || !home_.may_send(past_lease_))
+                co_return Ending{Outcome::stale};
             if (!fresh) socket_ = home_.take_idle(*place, idle_);
             if (!socket_) {
                 idle_.reset();
@@ -99,7 +101,8 @@
                     std::erase(still->waiting, shared_from_this());
                 if (!socket_)
                     co_return Ending{refused_ || Clock::now() >= until ? Outcome::no_route : Outcome::stale};
-                if (const Hosts::Place *still = here(); !still || !still->ready || cut_ || home_.blind_)
+                if (const Hosts::Place *still = here();
+                    !still || !still->ready || cut_ || !home_.may_send(past_lease_))
                     co_return Ending{Outcome::stale, {}, {}, true};
             }
             if (latest_ && Clock::now() >= *latest_) co_return Ending{Outcome::stale, {}, {}, true};
@@ -164,6 +167,7 @@
     Clock::time_point until_;
     std::optional<Clock::time_point> latest_; // to be sent
     Ended ended_;
+    const bool past_lease_; // when it was decided
     Fuse fuse_;
     asio::steady_timer handed_; // ends early when a connection is at hand
     std::unique_ptr<Socket> socket_;
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -41,9 +41,13 @@
     void withdraw_key(std::string_view key, int below); // and for those of builds below, with this key
     static bool has_left(const std::shared_ptr<Call> &call); // its last byte was written
 
-    // True: what the list says counts as changed and is not known. Nothing is sent until it is; a pick ends
-    // as one whose host has gone does.
-    void go_blind(bool blind) { blind_ = blind; }
+    // The lease on the list of hosts: past it nothing is sent; a pick ends as one whose host has gone does.
+    // Looked at again where the first byte is written, as a pick may have waited for a connection. A pick
+    // decided past the lease, in a presumed outage, may be sent while that is presumed.
+    void lease_until(Clock::time_point until, Clock::time_point outage_until) {
+        lease_until_ = until;
+        outage_until_ = outage_until;
+    }
 
     asio::awaitable<void> warm_up(); // returns once connections stand, or could not be had in time
     void sweep();
@@ -70,6 +74,10 @@
         std::size_t dialing = 0;
     };
 
+    bool lease_holds() const { return Clock::now() <= lease_until_; }
+    bool may_send(bool decided_past_lease) const {
+        return lease_holds() || (decided_past_lease && Clock::now() <= outage_until_);
+    }
     std::unique_ptr<asio::ip::tcp::socket> take_idle(Place &place, std::optional<Span> &idle);
     void dial_more(const std::string &id, Place &place);
     asio::awaitable<void> dial(std::string id, std::uint64_t process, Address address);
@@ -91,7 +99,8 @@
     std::size_t idle_ = 0;
     std::uint64_t processes_ = 0;
     Clock::time_point drain_until_{};
-    bool blind_ = false;
+    Clock::time_point lease_until_ = Clock::time_point::min();
+    Clock::time_point outage_until_ = Clock::time_point::min();
 };
 
 } // namespace pineridge::router::hosts
--- a/src/router/start.cpp
+++ b/src/router/start.cpp
@@ -60,6 +60,10 @@
     limits.idle = span(allowed, "keepalive");
     limits.streams = count(allowed, "maxStreams", 1);
     limits.vote_wait = span(need(settings, "familyInfo"), "answerWait");
+    // Where changes count as told earlier, as settings may say, the list holds no longer than that.
+    const json &rules = need(settings, "rules");
+    if (has(rules, "askEvery") && number(rules, "askEvery") > 0)
+        limits.list_lease = std::min(limits.list_lease, span(rules, "askEvery"));
     Span longest{0};
     for (const json &method : list(settings, "classes"))
         longest = std::max(longest, has(method, "deadline") ? span(method, "deadline") : kLongestWait);
--- a/src/simhost/reader.cpp
+++ b/src/simhost/reader.cpp
@@ -113,7 +113,7 @@
                             mark(event, "complete"), report(event));
     if (cmd == "ENDPOINTS") {
         const int kind = whole(event, "kind");
-        if (kind == 3) return router.list_failed();
+        if (kind == 3) return router.list_failed(-1);
         if (kind < 0 || kind > 3) wrong("kind", "out of range");
         return router.list(sheets_[place(event, "sheet", sheets_.size())], kind != 0);
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -265,7 +265,7 @@
     std::deque<Ticks> answered; // ok
     double best_rate = 0; // of them a second
     double wait = 0; // of an RPC sent now, expected
-    Ticks born = -1;
+    Ticks born = -1; // its first RPC came
     int pending = 0; // RPCs without a final answer
     double yielding = 0; // share of the draws for the trial that went elsewhere
     Ticks slow_since = -1, suspect_since = -1, struck_since = -1, shared_since = -1, released_at = -1;
@@ -280,7 +280,11 @@
     Verdict voted = Verdict::none;
     bool vote_counts = false;
     double vote_draw = 1; // spreads the next try
-    Ticks ask_at = 0, ask_wait = 0; // ask_at < 0: a call is out or a subscription stands
+    Ticks ask_at = 0; // below 0: a call is out or a subscription stands
+    int failed_calls = 0; // for the list, in a row
+    Ticks list_until = std::numeric_limits<Ticks>::max(); // its lease
+    Ticks outage_until = std::numeric_limits<Ticks>::min(); // discovery is presumed to be down
+    int staying_build = 0; // no release step so far takes its hosts away
 
     bool on_trial(int build) const {
         return has_news && (build > known.build || (build == known.build && known.phase != Phase::released));
@@ -295,6 +299,8 @@
         return host.listed && host.entry.standing == Standing::ready &&
                sent_back.count(host.entry.build) == 0;
     }
+    bool list_holds() const { return now <= list_until; }
+    bool outage() const { return !list_holds() && now <= outage_until; }
     bool usable_earlier(const Host &host) const { return usable(host) && !on_trial(host.entry.build); }
     const Method &method_of(const Rpc &rpc) const { return terms.methods[rpc.from.method]; }
 
@@ -345,10 +351,12 @@
         std::iota(in_order.begin(), in_order.end(), 0);
         std::sort(in_order.begin(), in_order.end(),
                   [&](int a, int b) { return hosts[a].rank < hosts[b].rank; });
-        ask_wait = 0;
+        failed_calls = 0;
         pools_due = true;
     }
 
+    void list_lease(Ticks until, Ticks outage) override { list_until = until, outage_until = outage; }
+
     void heard(int peer, const std::string &bytes) override {
         std::optional<Word> word = Word::unpack(bytes, terms.methods.size());
         if (!word || peer < 0 || peer >= terms.instances || peer == terms.ordinal) return;
@@ -391,6 +399,7 @@
     }
 
     void arrived(Arrival from) override {
+        if (born < 0) born = now;
         taken.at(from.method).push_back(now);
         arrivals += !from.retry;
         ++earned;
@@ -520,12 +529,22 @@
         return std::clamp(terms.cold_share + (1 - terms.cold_share) * grown, terms.cold_share, 1.0);
     }
 
+    // The released build; while one is on trial, or was withdrawn, the newest before it.
+    void note_staying_build() {
+        staying_build = has_news && watching() ? known.build : least_build;
+        if (watching()) return;
+        for (const Host &host : hosts)
+            if (usable(host) && host.entry.build < known.build)
+                staying_build = std::max(staying_build, host.entry.build);
+    }
+
     // Sorts the usable hosts by side. What others hold comes from reports since `fresh`, else from own picks.
     void fill_pools(Ticks fresh, int points, double rate, double slow_rate) {
         pools_due = false;
         least_build = hosts.empty() ? 0 : hosts.front().entry.build;
         for (const Host &host : hosts)
             if (usable(host)) least_build = std::min(least_build, host.entry.build);
+        note_staying_build();
         double told[2] = {0, 0}, there[2] = {0, 0}, own[2] = {0, 0};
         for (Pool &pool : pools) pool.hosts.clear(), pool.upto.clear(), pool.ring.clear();
         for (const int i : in_order) {
@@ -781,7 +800,6 @@
         untried += ((arrivals - again * turned_away) / span - untried) * rate;
         arrivals = turned_away = 0;
         traffic_at = now;
-        if (born < 0) born = now;
         forget(warm_served, now - 10000);
         forget(answered, now - 10000);
     }
--- a/standins/discovery/discovery.hpp
+++ b/standins/discovery/discovery.hpp
@@ -33,12 +33,14 @@
         const std::size_t at = call.path.find("from=");
         if (at == std::string::npos || std::stoi(call.path.substr(at + 5)) != version_)
             return talk->answer(200, whole().dump());
+        const std::size_t wait = call.path.find("hold_ms=");
+        const std::chrono::milliseconds span(
+            wait == std::string::npos ? 0 : std::stol(call.path.substr(wait + 8)));
         waiting_.push_back(talk);
-        asio::co_spawn(io_, hold(talk, version_), asio::detached);
+        asio::co_spawn(io_, hold(talk, version_, span), asio::detached);
     }
-    asio::awaitable<void> hold(std::weak_ptr<Talk> weak, int version) {
-        asio::steady_timer timer(io_);
-        timer.expires_after(std::chrono::seconds(15));
+    asio::awaitable<void> hold(std::weak_ptr<Talk> weak, int version, std::chrono::milliseconds span) {
+        asio::steady_timer timer(io_, span);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         const auto talk = weak.lock();
         if (!talk || version != version_) co_return;
--- a/standins/discovery/faulty.hpp
+++ b/standins/discovery/faulty.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <list>
 #include <map>
@@ -17,10 +18,11 @@
 
 class FaultyDiscovery {
   public:
-    // How calls end from now on. Leaving `serving` also ends the watches that stand, in the same way.
+    // How calls end from now on. `refusing` and `resetting` also end the watches that stand, in the same way.
     enum class Mode {
         serving,
         refusing, // 503, after `refuse_after`
+        crowded, // the same, but the watches that stand go on
         resetting, // the connection is reset, after `refuse_after`
         hanging, // taken and never answered; standing watches stay open and silent
         cutting, // the answer breaks off in its middle
@@ -42,7 +44,7 @@
         const std::string id = entry.at("id");
         entries_[id] = {entry, ++version_};
         changes.push_back({now_(), id, entry.at("state")});
-        if (mode_ == Mode::serving || mode_ == Mode::cutting) tell_watches();
+        if (mode_ == Mode::serving || mode_ == Mode::crowded || mode_ == Mode::cutting) tell_watches();
     }
     nlohmann::json whole() const {
         nlohmann::json all = {{"version", version_}, {"full", true}, {"servers", nlohmann::json::array()}};
@@ -52,7 +54,7 @@
 
     void set(Mode mode) {
         mode_ = mode;
-        if (mode != Mode::serving && mode != Mode::hanging && mode != Mode::cutting) end_watches();
+        if (mode == Mode::refusing || mode == Mode::resetting) end_watches();
     }
 
     std::size_t standing() const { return watches_.size(); }
@@ -85,7 +87,7 @@
     void take(const Call &call, const std::shared_ptr<Talk> &talk) {
         ++calls;
         if (mode_ == Mode::hanging) return hung_.push_back(talk);
-        if (mode_ == Mode::refusing || mode_ == Mode::resetting) {
+        if (mode_ == Mode::refusing || mode_ == Mode::crowded || mode_ == Mode::resetting) {
             asio::co_spawn(io_, refuse(talk), asio::detached);
             return;
         }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -56,7 +56,7 @@
             ++calls;
         }
         for (const Call &call : line)
-            if (now - call.at == kPatience) ++given_up, routers[call.router].router->list_failed();
+            if (now - call.at == kPatience) ++given_up, routers[call.router].router->list_failed(-1);
         while (!line.empty() && free_at <= now) {
             const Call call = line.front();
             line.pop_front();
@@ -90,7 +90,7 @@
         one.at(0);
         one.at(600);
         assert(one.pull(Act::watch_list).size() == 1);
-        one.router->list_failed();
+        one.router->list_failed(-1);
         one.at(11000);
         assert(one.pull(Act::watch_list).size() == 1);
     }
@@ -266,7 +266,7 @@
 struct Bare : Instance {
     using Instance::Instance;
     void clock(Ticks at) override { now = at; }
-    void list_failed() override {}
+    void list_failed(Ticks) override {}
     void ended(const std::string &, int, Outcome, Ticks, bool, const std::vector<double> &) override {}
     Decision next() override { return {}; }
 };
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -21,14 +21,17 @@
 constexpr std::int64_t kGrace = 300; // ms: of a drain, with the slack that sockets are given
 constexpr int kInstances = 300; // routers of the fleet that this one is told it belongs to
 constexpr double kRequestsPerSecond = 60;
+constexpr int kReleased = 2; // the build that is released; those before it go
+constexpr milliseconds kLine(2000); // for which a crowded discovery lets a call wait before it turns it away
 
 // One router process, its two hosts "stays" and "drains", and a steady stream of requests.
 struct World {
-    World(asio::io_context &loop, std::string its_name, std::string program)
+    World(asio::io_context &loop, std::string its_name, std::string program, int drains_build)
         : io(loop), name(std::move(its_name)), program_(std::move(program)), town(loop, Plot{}),
           discovery(loop, Town::now) {
-        town.host("stays", "north", 1);
-        town.host("drains", "north", 1);
+        town.host("stays", "north", kReleased);
+        town.host("drains", "north", drains_build);
+        town.platform.build = kReleased;
         for (const Host &host : town.hosts) discovery.list(host.entry());
         write_config();
     }
@@ -133,7 +136,9 @@
     world.expect_none_at_drained(told);
 }
 
-// Discovery ends the watch and fails each call from then on; a host drains at that moment.
+// Discovery ends the watch and fails each call from then on; the host of the build before the released one
+// drains at that moment. (While discovery is down nothing counts as told; but whether it is down or back and
+// crowded cannot be told from a failed call, and a host with a reason to drain gets nothing.)
 asio::awaitable<void> outage_with_a_drain(World &world, Mode mode) {
     world.start();
     world.town.flow("acme", kRequestsPerSecond);
@@ -155,13 +160,34 @@
     world.start();
     world.town.flow("acme", kRequestsPerSecond);
     co_await world.until([&] { return world.discovery.standing() > 0; });
-    const int calls = world.discovery.calls;
-    world.discovery.refuse_after = milliseconds(2000);
-    world.expect(co_await world.until([&] { return world.discovery.calls > calls; }, milliseconds(25000)),
+    world.discovery.refuse_after = kLine;
+    world.discovery.set(Mode::crowded);
+    world.expect(co_await world.until([&] { return world.discovery.standing() == 0; }, milliseconds(25000)),
                  "the watch has not ended");
+    const std::int64_t drained = world.drain();
+    co_await world.until_time(drained + kToldAfter + 2500);
+    world.expect_none_at_drained(drained + kToldAfter);
+    world.expect_all_answered();
+}
+
+// Discovery is down for longer than the lease: what has no reason to drain is sent to all the while. A host
+// drains as discovery returns, crowded at first: nothing is sent there past the time that counts from then.
+asio::awaitable<void> outage_with_a_crowded_return(World &world) {
+    world.start();
+    world.town.flow("acme", kRequestsPerSecond);
+    world.expect(co_await world.until([&] { return world.discovery.standing() > 0; }), "no watch");
+    world.expect(co_await world.until([&] { return world.served_since(0); }), "not served at first");
+    world.discovery.refuse_after = kLine;
     world.discovery.set(Mode::refusing);
+    const std::int64_t down = Town::now();
+    co_await world.until_time(down + 12000);
+    world.expect(world.picks("stays", down + kToldAfter + 500, down + 12000) > 60,
+                 "not served in the outage");
     const std::int64_t drained = world.drain();
+    co_await world.until_time(drained + kLine.count());
+    world.discovery.set(Mode::serving);
     co_await world.until_time(drained + kToldAfter + 2500);
+    world.expect(world.served_since(drained + kToldAfter), "not served again");
     world.expect_none_at_drained(drained + kToldAfter);
     world.expect_all_answered();
 }
@@ -187,8 +213,8 @@
 int main(int, char **argv) {
     asio::io_context io;
     std::list<World> worlds;
-    const auto play = [&](const std::string &name, auto scenario) {
-        World &world = worlds.emplace_back(io, name, argv[1]);
+    const auto play = [&](const std::string &name, auto scenario, int drains_build = kReleased) {
+        World &world = worlds.emplace_back(io, name, argv[1], drains_build);
         asio::co_spawn(io, scenario(world), [&world](const std::exception_ptr &thrown) {
             if (thrown) std::rethrow_exception(thrown);
             world.over = true;
@@ -197,8 +223,12 @@
     play("restart, refused", [](World &world) { return restart_with_an_old_list(world, Mode::refusing); });
     play("restart, reset", [](World &world) { return restart_with_an_old_list(world, Mode::resetting); });
     play("restart, hanging", [](World &world) { return restart_with_an_old_list(world, Mode::hanging); });
-    play("outage, refused", [](World &world) { return outage_with_a_drain(world, Mode::refusing); });
-    play("outage, reset", [](World &world) { return outage_with_a_drain(world, Mode::resetting); });
+    const int before = kReleased - 1;
+    play(
+        "outage, refused", [](World &world) { return outage_with_a_drain(world, Mode::refusing); }, before);
+    play(
+        "outage, reset", [](World &world) { return outage_with_a_drain(world, Mode::resetting); }, before);
+    play("crowded return", outage_with_a_crowded_return);
     play("quiet watch", refused_after_a_quiet_watch);
     play("cut answer", cut_answer_with_a_drain);
     const auto all_over = [&] {
--- a/tests/one_router.hpp
+++ b/tests/one_router.hpp
@@ -77,6 +77,9 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// A call for the list that discovery is not to keep waiting.
+inline bool asks_at_once(const std::string &heard) { return heard.find("hold_ms=1 ") != std::string::npos; }
+
 inline json settings() {
     const json method{{"name", "lookup"}, {"repeat", "read_like"}, {"group", "all"},
                       {"aim", 0.5},       {"window", 1},           {"worth", 1},
@@ -127,7 +130,8 @@
 struct Town {
     Town() : place(io), list(io), platform(io), host(io), log(logged, "n", Level::debug) {
         list.answer = [this](const std::string &heard) {
-            return heard.find("from=7") != std::string::npos ? "" : sized(whole_list(7).dump());
+            const bool waits = heard.find("from=7") != std::string::npos && !asks_at_once(heard);
+            return waits ? "" : sized(whole_list(7).dump());
         };
         told = {{"name", "n"},
                 {"listen", "127.0.0.1:" + std::to_string(place.port())},
@@ -147,6 +151,12 @@
     json whole_list(int version) const {
         return {{"version", version}, {"full", true}, {"servers", {entry("s", host.address())}}};
     }
+    // Discovery answers a call that does not wait with the list known, and says nothing to a watch.
+    void keep_watches_silent() {
+        list.answer = [this](const std::string &heard) {
+            return asks_at_once(heard) ? sized(told["known"].dump()) : "";
+        };
+    }
     void write(const std::string &text) const { std::ofstream(path) << text; }
     void serve() {
         start = read_start_file(path, environment);
--- a/tests/owed_test.cpp
+++ b/tests/owed_test.cpp
@@ -106,7 +106,7 @@
     SlowDoor door(town.io);
     of_a_fleet(town);
     town.told["known"]["servers"] = json::array({entry("s", door.address())});
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.write(town.told.dump());
     town.serve();
     tcp::socket client = client_of(town);
@@ -130,7 +130,7 @@
     town.told["settings"]["permissions"]["secondCopies"] = true;
     town.told["known"]["servers"] =
         json::array({entry("s", door.address()), entry("t", town.host.address())});
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.host.answer = host_answer;
     town.write(town.told.dump());
     town.serve();
@@ -190,7 +190,7 @@
     int version = 7;
     town.list.answer = [&](const std::string &heard) {
         const std::size_t hold = heard.find("hold_ms=");
-        if (hold == std::string::npos) return sized(town.whole_list(version).dump());
+        if (asks_at_once(heard)) return sized(town.whole_list(version).dump());
         const int wait = std::stoi(heard.substr(hold + 8));
         assert(wait >= 10000 && wait <= 20000);
         waits.insert(wait);
@@ -209,8 +209,8 @@
     town.write(town.told.dump());
     town.start = read_start_file(town.path, town.environment);
     town.start.limits.list_hold = Span(200), town.start.limits.list_grace = Span(100);
-    town.start.limits.list_told = Span(600);
-    town.list.answer = [](const std::string &) { return ""; };
+    town.start.limits.list_told = Span(600), town.start.limits.list_lease = Span(600);
+    town.keep_watches_silent();
     town.host.answer = host_answer;
     town.service.emplace(town.io, town.path, town.environment, town.start, town.log, [] {});
     tcp::socket client = client_of(town);
@@ -223,7 +223,7 @@
     assert(read_all(town, client, 5).find("-BUSY") == 0);
     assert(!town.host.was_sent("id-two"));
     town.list.answer = [&](const std::string &heard) {
-        return heard.find("from=7") != std::string::npos ? "" : sized(town.whole_list(7).dump());
+        return asks_at_once(heard) ? sized(town.whole_list(7).dump()) : "";
     };
     const std::size_t before = town.logged.str().size();
     town.until([&] { return town.logged.str().find("list: entries", before) != std::string::npos; });
@@ -346,7 +346,7 @@
     of_a_fleet(town);
     town.told["settings"]["permissions"]["connectTimeout"] = 60;
     town.told["known"]["servers"] = json::array({entry("s", door.address())});
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.write(town.told.dump());
     town.serve();
     tcp::socket client = client_of(town);
@@ -401,7 +401,7 @@
     town.told["settings"]["permissions"]["connectTimeout"] = 15;
     town.told["settings"]["classes"][1]["repeat"] = "idempotency_key";
     town.told["settings"]["classes"][1]["window"] = 5;
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.write(town.told.dump());
     town.serve();
     tcp::socket client = client_of(town);
@@ -436,7 +436,7 @@
     of_a_fleet(town);
     town.told["known"]["servers"] = json::array({entry("s", door.address())});
     town.told["deployer"]["news"] = news_of(1, "Progressing", 1);
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.platform.answer = [](const std::string &) {
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{}");
     };
@@ -463,7 +463,7 @@
     town.told["settings"]["familyInfo"]["swap"] = "parallel";
     town.told["known"]["servers"] = json::array({entry("s", door.address())});
     town.told["deployer"]["news"] = news_of(2, "Progressing", 1);
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.host.answer = host_answer;
     town.write(town.told.dump());
     town.serve();
@@ -491,7 +491,7 @@
     SlowDoor door(town.io);
     of_a_fleet(town);
     town.told["known"]["servers"] = json::array({entry("s", door.address())});
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.write(town.told.dump());
     town.serve();
     tcp::socket client = client_of(town);
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -177,7 +177,7 @@
     town.write(town.told.dump());
     town.start = read_start_file(town.path, town.environment);
     town.start.limits.list_hold = town.start.limits.list_grace = Span(200);
-    town.list.answer = [](const std::string &) { return ""; };
+    town.keep_watches_silent();
     town.service.emplace(town.io, town.path, town.environment, town.start, town.log, [] {});
     town.until([&] { return town.list.taken == 1; });
     const auto first = std::chrono::steady_clock::now();
