Calls for the list back off again, a full line is no outage; the presumption is shorter later on

Change: only the first call after a failure is timed by what is left of the lease; later ones wait 3 s and 0 to 3 s more, 1.5 times as long each from the third on. A call refused within 0.1 s found a full line: no outage is presumed. After the first call of an outage 4 s are presumed, not 6: a router turned away once after the return does not outlast the 6 s. Tests: the lease's rules fed by hand, the module past its lease (stale_list), a crowded return on loopback, which was red with 6 s.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -71,7 +71,9 @@
     Span list_partial_told{150}; // after an answer's first byte what it holds counts, read whole or not
     Span list_transit{250}; // from an answer's writing until its first byte is read, at most
     Span list_stands{5000}; // a watch that has not ended by then was accepted by discovery
-    Span list_outage{5000}; // after a failed call left, discovery is presumed to be down still
+    Span list_outage{6000}; // discovery is presumed down so long after it ended a watch, or a first call left
+    Span list_outage_on{4000}; // and after each later one
+    Span list_line_full{100}; // a call that discovery refuses so soon found its line full
     Span list_line{1500}; // discovery turns no call away after a wait shorter than this
     Span list_ready{8000}; // the first answer is waited for before clients are taken
     Span list_moved_told{4000}; // after discovery has moved, whatever it has to tell does
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -9,9 +9,8 @@
     using namespace pineridge;
     CLI::App app("pineridge: a front tier that watches over software updates");
     app.require_subcommand(1);
-    const std::vector<cli::Command> commands{cli::serve(app), cli::check(app), cli::version(app),
-                                             cli::release(app), cli::registry(app),
-                                             cli::admission(app)};
+    const std::vector<cli::Command> commands{cli::serve(app),   cli::check(app),    cli::version(app),
+                                             cli::release(app), cli::registry(app), cli::admission(app)};
     CLI11_PARSE(app, argc, argv);
     try {
         for (const cli::Command &command : commands)
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -95,8 +95,7 @@
 constexpr Ticks kAskAgain = 8000; // least wait after a failed call for the list
 constexpr Ticks kAskEach = 300, kAskSpread = 30000; // width of a fleet's calls for each router; at most
 constexpr Ticks kCallTakes = 22000; // a call that discovery keeps waiting has failed by then
-constexpr int kPatientCalls = 4; // failed ones in a row, before the waits grow
-constexpr double kAskGrowth = 1.5, kAskGrowthMost = 4; // of the waits, each time; at most
+constexpr double kAskGrowth = 1.5, kAskGrowthMost = 4; // of the waits, from the third failure on; at most
 
 class Decider final : public Instance {
   public:
@@ -852,16 +851,20 @@
     // that line full for itself, and the news of standing watches behind it.
     Ticks ask_span() const { return std::min(kAskSpread, kAskEach * terms.instances); }
 
-    // While the lease runs the next call leaves in time to renew it; the less is left, the sooner. Once it is
-    // over nothing is served until one succeeds, yet all other routers are in the same plight: calls are
-    // spread as widely as the line needs, and ever wider only after several have failed. Costs discovery one
-    // call each few seconds of every router through an outage.
+    // After a first failure the next call leaves in time to renew the lease. Later ones are spread as widely
+    // as the line needs, and ever wider: a crowded discovery works through calls that nobody waits for any
+    // more, and a fleet that goes on asking keeps it so. Costs routers without a list some seconds more.
     void list_failed(Ticks lease_left) override {
-        const double growth = std::pow(kAskGrowth, std::max(0, ++failed_calls - kPatientCalls));
-        Ticks span = ask_span();
-        if (lease_left >= 0) span = std::min(span, std::max(kAskAgain, lease_left - kCallTakes));
-        const double wait = kAskAgain + static_cast<double>(span) * rng.unit();
-        ask_at = now + static_cast<Ticks>(wait * std::min(growth, kAskGrowthMost));
+        const int repeated = failed_calls++;
+        const Ticks in_time = lease_left - kCallTakes;
+        if (repeated == 0 && in_time > kAskAgain) {
+            const Ticks span = std::min(ask_span(), in_time - kAskAgain);
+            ask_at = now + kAskAgain + static_cast<Ticks>(static_cast<double>(span) * rng.unit());
+            return;
+        }
+        const double growth = std::min(kAskGrowthMost, std::pow(kAskGrowth, std::max(0, repeated - 1)));
+        const double least = growth * static_cast<double>(std::max(kAskAgain, ask_span()));
+        ask_at = now + static_cast<Ticks>(least + static_cast<double>(ask_span()) * rng.unit());
     }
 
     Decision next() override {
--- a/src/membership/lease.cpp
+++ b/src/membership/lease.cpp
@@ -25,8 +25,7 @@
     complete_as_of(std::max(call_->asked, written));
     revoked_at_ = Instant::max();
     silent_until_.reset();
-    down_at_.reset();
-    unclear_.reset();
+    outage_over();
     call_.reset();
 }
 
@@ -36,15 +35,19 @@
     call_.reset();
     if (failure == CallFailure::unreadable) {
         revoked_at_ = std::min(revoked_at_, call.begun.value_or(now) + rules_.partial_told);
-        down_at_.reset();
-        unclear_.reset();
+        outage_over();
     }
     if (call.hold && failure == CallFailure::silent) {
         silent_until_ = silent_bound(call);
         return;
     }
     if (call.hold) return watch_ended(call, failure, now);
-    if (down_at_) down_at_ = call.asked;
+    if (failure != CallFailure::unreached && now - call.asked < rules_.line_full) {
+        // Crowded, so that it is not down.
+        outage_over();
+        return;
+    }
+    if (down_until_) still_down(call);
     if (failure == CallFailure::refused || failure == CallFailure::broken) clear_up(call, now);
 }
 
@@ -54,8 +57,9 @@
     const auto open = now - call.asked;
     const bool by_discovery = failure == CallFailure::refused || failure == CallFailure::broken;
     const bool stood = call.stands || open >= rules_.stands_after;
-    if (by_discovery && (stood || open < rules_.line_least)) down_at_ = now;
-    if (by_discovery && !down_at_) unclear_ = UnclearEnd{now, open};
+    if (open < rules_.line_full) return;
+    if (by_discovery && (stood || open < rules_.line_least)) down_until_ = now + rules_.outage_lasts;
+    if (by_discovery && !down_until_) unclear_ = UnclearEnd{now, open};
     if (!complete_at_ || !stood) return;
     Instant told_until = now - rules_.transit;
     if (failure != CallFailure::refused)
@@ -72,20 +76,31 @@
     const bool stood = wait >= rules_.line_least && end.open > wait + wait / 10;
     if (!stood && end.open > wait - wait / 10 && wait >= rules_.line_least) return;
     if (stood) complete_as_of(end.ended - rules_.transit);
-    down_at_ = call.asked;
+    still_down(call);
     unclear_.reset();
 }
 
+void Lease::still_down(const Call &call) {
+    const bool first = failed_in_outage_++ == 0;
+    const Instant until = call.asked + (first ? rules_.outage_lasts : rules_.outage_goes_on);
+    down_until_ = std::max(until, down_until_.value_or(until));
+}
+
+void Lease::outage_over() {
+    down_until_.reset();
+    unclear_.reset();
+    failed_in_outage_ = 0;
+}
+
 void Lease::moved(Instant now) {
     revoked_at_ = std::min(revoked_at_, now + rules_.moved_told);
-    down_at_.reset();
-    unclear_.reset();
+    outage_over();
 }
 
 Instant Lease::outage_until() const {
     const bool unread = revoked_at_ != Instant::max() || (call_ && call_->begun);
-    if (!down_at_ || !complete_at_ || unread) return Instant::min();
-    return *down_at_ + rules_.outage_lasts;
+    if (!down_until_ || !complete_at_ || unread) return Instant::min();
+    return *down_until_;
 }
 
 Instant Lease::expires() const {
--- a/src/membership/lease.hpp
+++ b/src/membership/lease.hpp
@@ -29,8 +29,10 @@
     Span partial_told; // what an answer holds counts so long after its first byte, read whole or not
     Span transit; // from an answer's writing until its first byte is read, at most
     Span stands_after; // a watch that has not ended by then was accepted, and does not wait in a line
-    Span line_least; // a call that fails sooner has not been turned away after a wait in a line
-    Span outage_lasts; // after a failed call left, discovery is presumed to be down still
+    Span line_full; // a call that fails so soon was turned away by a line that took no more
+    Span line_least; // and one that fails sooner than this was not turned away after a wait in it
+    Span outage_lasts; // discovery is presumed down for so long after it ended a watch, or a first call left
+    Span outage_goes_on; // and after each later call left; less, as it may be back and crowded by then
     bool lapses_on_failure = true; // false: an agent beside the router, which learns nothing while it fails
 };
 
@@ -82,6 +84,8 @@
     void complete_as_of(Instant at);
     void watch_ended(const Call &call, CallFailure failure, Instant now);
     void clear_up(const Call &call, Instant now);
+    void still_down(const Call &call); // a call of an outage has failed
+    void outage_over();
     Instant silent_bound(const Call &call) const { return call.asked + *call.hold + rules_.watch_overrun; }
 
     const LeaseRules rules_;
@@ -89,7 +93,8 @@
     std::optional<Instant> complete_at_; // the list lacks no change that discovery had by then
     std::optional<Instant> silent_until_; // bound of a watch that fell silent, until the next answer
     std::optional<UnclearEnd> unclear_;
-    std::optional<Instant> down_at_; // in an outage: when discovery was last found to be down
+    std::optional<Instant> down_until_; // in an outage: as presumed
+    int failed_in_outage_ = 0; // calls
     Instant revoked_at_ = Instant::max(); // something unread, or of another address, counts from then on
 };
 
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -18,8 +18,10 @@
             .partial_told = limits.list_partial_told,
             .transit = limits.list_transit,
             .stands_after = std::min(limits.list_stands, limits.list_lease * 5 / 6),
+            .line_full = limits.list_line_full,
             .line_least = limits.list_line,
             .outage_lasts = limits.list_outage,
+            .outage_goes_on = limits.list_outage_on,
             .lapses_on_failure = !start.list_at_hand};
 }
 
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -70,6 +70,15 @@
         }
         co_return held();
     }
+    // Starts the router; returns once it serves and its watch on discovery stands.
+    asio::awaitable<void> begin_service() {
+        start();
+        town.flow("acme", kRequestsPerSecond);
+        expect(co_await until([&] { return discovery.standing() > 0; }), "no watch");
+        expect(co_await until([&] { return served_since(0); }), "not served at first");
+        // Long enough for the watch to be no call that is turned away at once.
+        co_await until_time(Town::now() + 400);
+    }
     asio::awaitable<void> until_time(std::int64_t at) {
         co_await until([at] { return Town::now() >= at; });
     }
@@ -140,10 +149,7 @@
 // drains at that moment. (While discovery is down nothing counts as told; but whether it is down or back and
 // crowded cannot be told from a failed call, and a host with a reason to drain gets nothing.)
 asio::awaitable<void> outage_with_a_drain(World &world, Mode mode) {
-    world.start();
-    world.town.flow("acme", kRequestsPerSecond);
-    world.expect(co_await world.until([&] { return world.discovery.standing() > 0; }), "no watch");
-    world.expect(co_await world.until([&] { return world.served_since(0); }), "not served at first");
+    co_await world.begin_service();
     world.discovery.set(mode);
     const std::int64_t drained = world.drain();
     co_await world.until_time(drained + kToldAfter + 2500);
@@ -157,9 +163,7 @@
 
 // A quiet watch ends with nothing new; the call that follows is refused, and a host drains unheard.
 asio::awaitable<void> refused_after_a_quiet_watch(World &world) {
-    world.start();
-    world.town.flow("acme", kRequestsPerSecond);
-    co_await world.until([&] { return world.discovery.standing() > 0; });
+    co_await world.begin_service();
     world.discovery.refuse_after = kLine;
     world.discovery.set(Mode::crowded);
     world.expect(co_await world.until([&] { return world.discovery.standing() == 0; }, milliseconds(25000)),
@@ -173,10 +177,7 @@
 // Discovery is down for longer than the lease: what has no reason to drain is sent to all the while. A host
 // drains as discovery returns, crowded at first: nothing is sent there past the time that counts from then.
 asio::awaitable<void> outage_with_a_crowded_return(World &world) {
-    world.start();
-    world.town.flow("acme", kRequestsPerSecond);
-    world.expect(co_await world.until([&] { return world.discovery.standing() > 0; }), "no watch");
-    world.expect(co_await world.until([&] { return world.served_since(0); }), "not served at first");
+    co_await world.begin_service();
     world.discovery.refuse_after = kLine;
     world.discovery.set(Mode::refusing);
     const std::int64_t down = Town::now();
@@ -194,10 +195,7 @@
 
 // The answer that tells of a drain is cut; what it told counts, although it cannot be read.
 asio::awaitable<void> cut_answer_with_a_drain(World &world) {
-    world.start();
-    world.town.flow("acme", kRequestsPerSecond);
-    world.expect(co_await world.until([&] { return world.discovery.standing() > 0; }), "no watch");
-    world.expect(co_await world.until([&] { return world.served_since(0); }), "not served at first");
+    co_await world.begin_service();
     world.discovery.set(Mode::cutting);
     const std::int64_t drained = world.drain();
     co_await world.until_time(drained + 3000);
--- a/tests/membership/lease_test.cpp
+++ b/tests/membership/lease_test.cpp
@@ -15,8 +15,10 @@
                             .partial_told = Span(150),
                             .transit = Span(250),
                             .stands_after = Span(5000),
+                            .line_full = Span(100),
                             .line_least = Span(1500),
-                            .outage_lasts = Span(5000)};
+                            .outage_lasts = Span(5000),
+                            .outage_goes_on = Span(4000)};
 
 Instant at(int ms) { return Instant(Span(100000 + ms)); }
 
@@ -104,8 +106,11 @@
     lease.failed(CallFailure::refused, at(6000));
     assert(!lease.holds(at(6001)) && lease.outage_until() == at(9000));
     lease.asked(at(8000), std::nullopt);
+    lease.failed(CallFailure::refused, at(10000));
+    assert(lease.outage_until() == at(12000)); // it may be back and crowded by now: for less
+    lease.asked(at(14000), std::nullopt);
     lease.answered();
-    assert(lease.outage_until() == Instant::min() && lease.expires() == at(14000));
+    assert(lease.outage_until() == Instant::min() && lease.expires() == at(20000));
 }
 
 // A watch that was turned away after a wait in the line, as the next call is, was never ended by an outage.
@@ -118,6 +123,20 @@
     assert(lease.outage_until() == Instant::min() && lease.expires() == at(6000));
 }
 
+// Nor is one that turns calls away at once: it takes no more, which one that is down could not tell.
+void a_full_line_ends_an_outages_presumption() {
+    Lease lease = answered_at_0();
+    lease.asked(at(100), Span(20000));
+    lease.failed(CallFailure::refused, at(102));
+    assert(lease.outage_until() == Instant::min());
+    lease.asked(at(200), Span(20000));
+    lease.failed(CallFailure::refused, at(700));
+    assert(lease.outage_until() == at(5700));
+    lease.asked(at(1000), std::nullopt);
+    lease.failed(CallFailure::refused, at(1002));
+    assert(lease.outage_until() == Instant::min() && lease.expires() == at(6000));
+}
+
 // It was open for longer than the line lets calls wait: it stood, and told all up to its end.
 void a_watch_open_for_longer_than_the_line_had_stood() {
     Lease lease = answered_at_0();
@@ -183,6 +202,7 @@
     a_watch_that_breaks_was_complete_up_to_a_bound();
     an_outage_is_presumed_after_a_watch_was_ended();
     a_crowded_line_is_no_outage();
+    a_full_line_ends_an_outages_presumption();
     a_watch_open_for_longer_than_the_line_had_stood();
     an_unreadable_answer_revokes_the_lease();
     a_move_revokes_it_after_its_time();
