Clients are read in the handler: no close over a command that has left the kernel

Cause: Client::serve read asynchronously. The bytes leave the kernel as the read completes and its handler runs later in the same turn; each close in between asked available(), which is 0 by then, and a session that had nothing yet. After such a close serve went on with the bytes, so that a host could be sent what nobody answers; the end of a write on a closed connection took the commands held back. Mend: readiness is waited for and the read made in the handler, by one function; who closes an idle or stuck client reads once more in the same call. It holds as no byte is out of the kernel and not in the session when anything else runs.

--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -50,36 +50,19 @@
 
     asio::awaitable<void> serve() {
         const auto self = shared_from_this();
-        std::vector<char> room(home_.start_.limits.first_read);
         const Limits &limits = home_.start_.limits;
         while (!closed_) {
             const bool short_of_memory = session_.owes() && home_.crammed();
-            if (short_of_memory || (broken_ ? discarded_ > limits.discarded : !session_.reads())) {
+            if (short_of_memory || !may_read()) {
                 resume_.expires_after(short_of_memory ? limits.crammed_pause : limits.unread_look);
                 co_await resume_.async_wait(as_tuple(use_awaitable));
                 // Stops RPCs of a client that has left from being sent on while it is not read from.
                 if (!closed_ && heard(socket_.native_handle()).closed) break;
                 continue;
             }
-            const auto [failed, size] =
-                co_await socket_.async_read_some(asio::buffer(room), as_tuple(use_awaitable));
-            if (failed) break;
-            if (broken_) { // nothing of it is believed any more; its end is its client's leaving
-                discarded_ += size;
-                continue;
-            }
-            if (size == room.size() && size < home_.start_.limits.read_step) room.resize(size * 2);
-            home_.busy(*this);
-            since_ = Clock::now();
-            if (needs_head_ ? !take_head({room.data(), size}) : (session_.feed({room.data(), size}), false)) {
-                if (broken_) break;
-                continue;
-            }
-            age_ = home_.late(socket_.native_handle(), since_);
-            take_commands();
-            write();
-            read_room_ = room.size();
-            weigh();
+            if (read_available() == Read::ended) break;
+            if (closed_) break;
+            co_await socket_.async_wait(asio::socket_base::wait_read, as_tuple(use_awaitable));
         }
         leave(); // what it still waits for ends here
     }
@@ -94,9 +77,18 @@
         weigh();
     }
 
-    bool idle() {
-        boost::system::error_code failed;
-        return session_.idle() && !writing_ && socket_.available(failed) == 0;
+    // Closes the connection, unless anything is owed on it. It is read once more right before: what has
+    // arrived by then is taken and answered. What comes later meets the close unread, and its client sends it
+    // again elsewhere.
+    void close_if_idle() {
+        if (!session_.idle() || writing_) return;
+        if (read_available() != Read::some) close();
+    }
+    // The same for a client that is stuck, should what has arrived meanwhile not have moved it on.
+    void close_if_stuck(Clock::time_point now) {
+        if (!stuck(now)) return;
+        if (may_read() && read_available() == Read::ended) return leave();
+        if (stuck(now)) close();
     }
     bool used() const { return used_; }
     void unseat() {
@@ -158,6 +150,39 @@
     std::optional<std::list<Client *>::iterator> resting; // its place among the idle ones
 
   private:
+    enum class Read { nothing, some, ended };
+
+    bool may_read() const { return broken_ ? discarded_ <= home_.start_.limits.discarded : session_.reads(); }
+
+    // Reads what the kernel holds, without waiting, and takes the commands in it. Bytes leave the kernel only
+    // here and are in the session before anything else runs: an asynchronous read would complete, and a close
+    // in the same turn of the loop would find neither unread bytes nor a command, before its handler had run.
+    Read read_available() {
+        boost::system::error_code failed;
+        const std::size_t size = socket_.read_some(asio::buffer(home_.room_to_read_), failed);
+        if (failed == asio::error::would_block || failed == asio::error::interrupted) return Read::nothing;
+        if (failed) return Read::ended;
+        take_bytes({home_.room_to_read_.data(), size});
+        return Read::some;
+    }
+
+    void take_bytes(std::string_view bytes) {
+        if (broken_) { // nothing of it is believed any more; its end is its client's leaving
+            discarded_ += bytes.size();
+            return;
+        }
+        home_.busy(*this);
+        since_ = Clock::now();
+        if (!needs_head_)
+            session_.feed(bytes);
+        else if (!take_head(bytes))
+            return;
+        age_ = home_.late(socket_.native_handle(), since_);
+        take_commands();
+        write();
+        weigh();
+    }
+
     // The front's header, then whose seat it is. False: more is needed, or it is broken.
     bool take_head(std::string_view bytes) {
         head_.append(bytes);
@@ -166,7 +191,7 @@
         if (got == proxy::Scan::more) return false;
         if (got == proxy::Scan::bad) {
             home_.log_(Level::warning, "door: a front's header: ", header.fault);
-            broken_ = closing_ = true;
+            close();
             return false;
         }
         needs_head_ = false;
@@ -179,7 +204,7 @@
     // After whatever it holds more or less of.
     void weigh() {
         if (closed_) return;
-        const std::size_t now = session_.bytes() + head_.capacity() + read_room_;
+        const std::size_t now = session_.bytes() + head_.capacity();
         home_.held_bytes_ += now - bytes_;
         bytes_ = now;
         if (!session_.half_read())
@@ -200,6 +225,14 @@
         }
     }
 
+    // Commands that had no place among those under way. One whose client has left meanwhile goes nowhere: its
+    // effect would be told to nobody.
+    void take_held_back() {
+        if (broken_ || closed_ || !session_.half_read()) return;
+        if (heard(socket_.native_handle()).closed) return leave();
+        take_commands();
+    }
+
     void take(const std::vector<std::string_view> &words) {
         const std::uint64_t place = session_.expect();
         if (refused_for_ > 0) {
@@ -238,12 +271,14 @@
                           [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
                               self->writing_ = false;
                               if (failed) return self->leave();
+                              if (self->closed_) return;
                               self->session_.written();
                               self->since_ = Clock::now();
                               self->settle();
-                              if (!self->broken_) self->take_commands();
+                              self->take_held_back();
                               // Its client would use it again at once, before the next look at idle ones.
-                              if (self->home_.leaving_ && self->idle()) return self->close();
+                              if (self->home_.leaving_) self->close_if_idle();
+                              if (self->closed_) return;
                               self->resume_.cancel();
                               self->write();
                               self->weigh();
@@ -285,16 +320,17 @@
     admission::Guest guest_;
     std::vector<bool> answered_; // RPCs whose answers are not all written: were they served?
     std::string head_; // of a front, as far as it has come
-    std::size_t bytes_ = 0, read_room_ = 0; // what it holds, as counted among all; of it to read into
+    std::size_t bytes_ = 0; // what it holds, as counted among all
     Ticks refused_for_ = 0; // above 0: its first command is answered so, and it is closed
     bool writing_ = false, closed_ = false, broken_ = false, used_ = false;
-    bool needs_head_, seated_ = false, closing_ = false, finishing_ = false;
+    bool needs_head_, seated_ = false, finishing_ = false;
     std::size_t discarded_ = 0; // bytes after those that could not be read
 };
 
 Clients::Clients(asio::io_context &io, const Start &start, const Log &log, admission::Ledger &ledger,
                  Desk &desk)
-    : io_(io), start_(start), log_(log), ledger_(ledger), desk_(desk), acceptor_(io), room_(io) {
+    : io_(io), start_(start), log_(log), ledger_(ledger), desk_(desk), acceptor_(io),
+      room_to_read_(start.limits.read_step), room_(io) {
     rules(start.entrance);
 }
 
@@ -360,10 +396,8 @@
                 timer.expires_after(start_.limits.sweep);
                 co_await timer.async_wait(use_awaitable);
                 const auto now = Clock::now();
-                std::vector<std::shared_ptr<Client>> stuck;
-                for (const auto &client : open_)
-                    if (client->stuck(now)) stuck.push_back(client);
-                for (const auto &client : stuck) client->close();
+                const std::vector<std::shared_ptr<Client>> open(open_.begin(), open_.end());
+                for (const auto &client : open) client->close_if_stuck(now);
                 if (!door_) make_room(start_.limits.kept, open_.size());
                 shed();
             }
@@ -378,6 +412,7 @@
 void Clients::begin(asio::ip::tcp::socket socket, const asio::ip::address &from) {
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored); // reads never wait
     const bool behind_front = is_front(from);
     const auto client = std::make_shared<Client>(*this, std::move(socket), behind_front);
     if (door_ && !behind_front)
@@ -475,21 +510,25 @@
 // Closes those idle longest, until so many connections are left. Stops idle ones, of clients that ask once
 // and stay, from using up the descriptors, which would leave new ones unheard and hosts out of reach. One
 // that has yet to send its first command is left: it may be under way.
-void Clients::make_room(std::size_t most, std::size_t left) {
+void Clients::make_room(std::size_t most, std::size_t looked_at) {
     const auto now = Clock::now();
-    for (auto at = idle_.begin(); at != idle_.end() && open_.size() > most && left-- > 0;) {
-        Client &client = **at++;
+    std::vector<std::shared_ptr<Client>> candidates; // apart: a look at one may take it off the list
+    for (auto at = idle_.begin(); at != idle_.end() && looked_at-- > 0; ++at) {
+        Client &client = **at;
         if (now - client.since() < start_.limits.rested) break; // its client may be about to use it
-        if (client.used() && client.idle()) client.close();
+        if (client.used()) candidates.push_back(client.shared_from_this());
+    }
+    for (const auto &client : candidates) {
+        if (open_.size() <= most) return;
+        client->close_if_idle();
     }
 }
 
 void Clients::close_idle(std::chrono::milliseconds unused_for) {
     const auto now = Clock::now();
-    std::vector<std::shared_ptr<Client>> idle;
-    for (const auto &client : open_)
-        if (client->idle() && (client->used() || now - client->since() > unused_for)) idle.push_back(client);
-    for (const auto &client : idle) client->close();
+    const std::vector<std::shared_ptr<Client>> open(open_.begin(), open_.end());
+    for (const auto &client : open)
+        if (client->used() || now - client->since() > unused_for) client->close_if_idle();
 }
 
 void Clients::leave(std::function<void()> done) {
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -79,6 +79,7 @@
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<const Entrance> rules_; // none: whoever finds room comes in
     std::optional<admission::Door> door_; // looks at the rules
+    std::vector<char> room_to_read_; // for one read at a time, of whichever client
     std::size_t held_bytes_ = 0; // of all clients
     std::unordered_set<std::shared_ptr<Client>> open_;
     std::list<Client *> idle_; // of them, the one idle longest first
