Flood of half commands: each swells to 155 KB, as a client's read buffer is no longer held

A client held a read buffer of 4 to 16 KiB of its own until reads shared one. The test of shed memory fills a quarter of 64 MB by 100 half commands; 130 KB of each no longer do that (13 of 16 MB), so its first wait was in vain. Each now sends 155 KB, under the bound of 160 KiB for a command. The test and its checks are unchanged.

--- a/standins/flood/flood.cpp
+++ b/standins/flood/flood.cpp
@@ -77,8 +77,8 @@
     const Manner manner = state->plan.manner;
     std::string first = state->plan.front + (manner == Manner::opens || manner == Manner::drips ? "*" : ask);
     if (manner == Manner::swells)
-        first = "*4\r\n$5\r\nQ.ASK\r\n$65536\r\n" + std::string(65536, 'k') + "\r\n$65536\r\n" +
-                std::string(65000, 'i');
+        first = "*5\r\n$5\r\nQ.ASK\r\n$65536\r\n" + std::string(65536, 'k') + "\r\n$65536\r\n" +
+                std::string(65536, 'i') + "\r\n$65536\r\n" + std::string(24000, 'n');
     boost::system::error_code failed;
     std::size_t size = 0;
     std::tie(failed, size) = co_await asio::async_write(*on, asio::buffer(first), as_tuple(use_awaitable));
