What waits for a connection does not take a key back while a newer build has it

Cause: only an answer that was read withdrew what waits (Driver::ended). Mend: Hosts counts the keys of picks that are on their hosts, and looks where the first byte is written; an end that leaves open whether there was an answer withdraws what waits; a build that goes back lets go of its keys.

--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -337,9 +337,10 @@
     rpc.unrun = rpc.unrun && proves_unrun(ending.outcome);
     if (rpc.unrun && rpc.under_way == 0) rpc.first_sent = -1;
     if (office_) office_->ended(build, rpc.cell, ending.outcome);
-    // Stops a pick that has yet to leave from taking a key to an earlier build than one that has answered it.
-    if (ending.outcome == Outcome::ok && start_.terms.rollout.keys_stay && !rpc.held->asked.key.empty())
-        hosts_.withdraw_key(rpc.held->asked.key, build);
+    // Stops a pick that has yet to leave from taking a key to an earlier build than one that may have
+    // answered it.
+    const bool holds_key = !proves_unanswered(ending.outcome) && !rpc.held->asked.key.empty();
+    if (holds_key && start_.terms.rollout.keys_stay) hosts_.withdraw_key(rpc.held->asked.key, build);
     if (ending.outcome == Outcome::ok) answer(rpc, ending.value);
     to.ended(id, pick, ending.outcome, now_ - sent, rpc.finished, ending.report);
     log_(Level::debug, "ended ", id, " pick ", pick, " at ", host, " outcome ",
@@ -418,6 +419,8 @@
     }
     // Stops picks that wait for a connection from going to a build that may have fewer of them by then.
     if (news.valid && news.build == known_.build && news.cap < known_.cap) hosts_.withdraw_from(news.build);
+    if (news.valid && (news.phase == Phase::going_back || news.phase == Phase::withdrawn))
+        hosts_.release_keys(news.build);
     if (news.valid) known_ = news, known_.answers_vote = false, known_at_ = now_;
     if (news.valid && office_) office_->news(news);
     to.news(news);
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -24,6 +24,8 @@
           handed_(home.io_) {
         const auto at = home_.places_.find(id_);
         process_ = at == home_.places_.end() ? 0 : at->second.process;
+        build_ = home_.build_of(id_);
+        if (home_.start_.terms.rollout.keys_stay) kept_key_ = held_->asked.key;
     }
 
     asio::awaitable<void> run() {
@@ -31,6 +33,7 @@
         co_await asio::post(use_awaitable); // never ends within the call that sent it
         Ending ending = co_await attempt();
         home_.unsent_.erase(this);
+        if (sent_) home_.key_ended(kept_key_, build_);
         fuse_.put_out();
         if (cut_ && ending.outcome != Outcome::ok) ending.outcome = sent_ ? Outcome::undone : Outcome::stale;
         const bool reusable = ending.reusable && !cut_;
@@ -106,6 +109,8 @@
                     co_return Ending{Outcome::stale, {}, {}, true};
             }
             if (latest_ && Clock::now() >= *latest_) co_return Ending{Outcome::stale, {}, {}, true};
+            // Sent meanwhile to a newer build, whose answer may be lost on its way: not to this one any more.
+            if (home_.is_out_above(kept_key_, build_)) co_return Ending{Outcome::stale, {}, {}, true};
             fuse_.light(*socket_, until_);
             if (co_await write()) break;
             if (fresh || cut_ || fuse_.blown()) co_return Ending{Outcome::no_route};
@@ -141,6 +146,7 @@
         }
         sent_ = written == total;
         if (sent_) home_.unsent_.erase(this);
+        if (sent_) home_.key_sent(kept_key_, build_);
         co_return sent_;
     }
 
@@ -172,6 +178,8 @@
     asio::steady_timer handed_; // ends early when a connection is at hand
     std::unique_ptr<Socket> socket_;
     std::uint64_t process_ = 0;
+    int build_ = -1; // of its host when it was decided
+    std::string kept_key_; // its key, where keys stay; else empty
     std::optional<Span> idle_; // how long its connection had stood idle; none: a new one
     bool noted_ = false, cut_ = false, sent_ = false, refused_ = false;
 };
@@ -260,6 +268,31 @@
     withdraw_if([&](const Call &call) { return call.key() == key && build_of(call.host()) < below; });
 }
 
+bool Hosts::is_out_above(const std::string &key, int build) const {
+    const auto at = key.empty() ? keys_out_.end() : keys_out_.find(key);
+    return at != keys_out_.end() && at->second.upper_bound(build) != at->second.end();
+}
+
+void Hosts::key_sent(const std::string &key, int build) {
+    if (!key.empty()) ++keys_out_[key][build];
+}
+
+void Hosts::key_ended(const std::string &key, int build) {
+    const auto at = keys_out_.find(key);
+    if (at == keys_out_.end()) return;
+    const auto count = at->second.find(build);
+    if (count == at->second.end()) return; // released meanwhile
+    if (--count->second == 0) at->second.erase(count);
+    if (at->second.empty()) keys_out_.erase(at);
+}
+
+void Hosts::release_keys(int build) {
+    for (auto at = keys_out_.begin(); at != keys_out_.end();) {
+        at->second.erase(build);
+        at = at->second.empty() ? keys_out_.erase(at) : std::next(at);
+    }
+}
+
 // The one used last of those that have been quiet for some while, else the one quiet longest. Stops a second
 // copy of an answer that comes some milliseconds late from being read as the next RPC's, where there is a
 // choice.
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -39,6 +40,7 @@
     void withdraw(const std::shared_ptr<Call> &call); // its RPC is over: ends it unless it is on its host
     void withdraw_from(int build); // all that has yet to leave for its hosts
     void withdraw_key(std::string_view key, int below); // and for those of builds below, with this key
+    void release_keys(int build); // it goes back: earlier builds may have the keys that it was sent
     static bool has_left(const std::shared_ptr<Call> &call); // its last byte was written
 
     // The lease on the list of hosts: past it nothing is sent; a pick ends as one whose host has gone does.
@@ -88,6 +90,9 @@
     void close(std::unique_ptr<asio::ip::tcp::socket> &socket);
     void drop_idle(Place &place, std::size_t keep);
     template <class Which> void withdraw_if(const Which &which);
+    bool is_out_above(const std::string &key, int build) const;
+    void key_sent(const std::string &key, int build);
+    void key_ended(const std::string &key, int build);
 
     asio::io_context &io_;
     const Start &start_;
@@ -95,6 +100,8 @@
     admission::Ledger &ledger_;
     std::unordered_map<std::string, Place> places_;
     std::unordered_set<Call *> unsent_; // picks whose last byte has yet to be written
+    // Where keys stay: picks that are on their hosts, by key and build.
+    std::unordered_map<std::string, std::map<int, int>> keys_out_;
     Trust trust_;
     std::size_t idle_ = 0;
     std::uint64_t processes_ = 0;
