A refused connection is answered each command that was read, and waited for by nobody

Callers (admission, off by default) saw a second command on a refused connection closed without an answer: turn_away read up to 4 KiB and answered the first command alone. Its read also waited, as the socket was not set not to: after SIGTERM a refused connection that said nothing held up the whole router.

--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -96,7 +96,7 @@
         answered_.clear();
     }
     Clock::time_point since() const { return since_; }
-    // Its first command, where it is there already, is pushed back; then it is closed. Costs a read, a write
+    // Commands of it that are there already are pushed back, each; then it is closed. Costs a read, a write
     // and a close, as a flood is met by this.
     void turn_away(Ticks back) {
         std::array<char, 4096> room;
@@ -104,10 +104,10 @@
         const std::size_t size = socket_.read_some(asio::buffer(room), failed);
         if (!failed) {
             session_.feed({room.data(), size});
-            if (session_.next() == Session::Next::command) {
-                const std::string answer = home_.refusal(session_.words(), back);
-                socket_.write_some(asio::buffer(answer), failed);
-            }
+            std::string answers;
+            while (session_.next() == Session::Next::command)
+                answers += home_.refusal(session_.words(), back);
+            socket_.write_some(asio::buffer(answers), failed);
         }
         closed_ = true;
         socket_.close(failed);
--- a/tests/client_close_test.cpp
+++ b/tests/client_close_test.cpp
@@ -195,6 +195,43 @@
     assert(!entry.desk.has_taken("id-two"));
 }
 
+std::shared_ptr<const Entrance> one_connection_an_address() {
+    auto rules = std::make_shared<Entrance>();
+    rules->crowds.front().per_address = 1;
+    return rules;
+}
+
+// A connection that may not stay: each command that was read of it is answered, not the first alone.
+void a_refused_connection_is_answered_each_command() {
+    Entry entry;
+    entry.start.entrance = one_connection_an_address();
+    entry.listen();
+    tcp::socket first = entry.connect();
+    asio::write(first, asio::buffer(ask("id-one")));
+    entry.expect_answers(first, {"id-one"});
+    tcp::socket refused = entry.connect();
+    asio::write(refused, asio::buffer(ask("id-two") + ask("id-tri")));
+    const std::string got = entry.answers(refused, 2 * std::string("-BUSY 1000\r\n").size());
+    assert(std::count(got.begin(), got.end(), '-') == 2);
+}
+
+// A connection that may not stay and says nothing: the router does not wait for it, which would hold up
+// everybody. From SIGTERM on connections come in before their first command.
+void a_refused_connection_that_says_nothing_holds_nobody_up() {
+    Entry entry;
+    entry.start.entrance = one_connection_an_address();
+    entry.listen();
+    tcp::socket first = entry.connect();
+    const std::string asked = ask("id-one");
+    asio::write(first, asio::buffer(asked.substr(0, 20)));
+    entry.town.until([&] { return entry.served->open() == 1; });
+    entry.leave();
+    for (int turn = 0; turn < 10; ++turn) entry.town.io.poll();
+    tcp::socket silent = entry.connect();
+    asio::write(first, asio::buffer(asked.substr(20)));
+    entry.expect_answers(first, {"id-one"});
+}
+
 } // namespace
 
 int main() {
@@ -203,4 +240,6 @@
     a_client_taken_by_the_last_look_is_answered();
     a_command_that_is_whole_by_now_is_answered();
     a_closed_connection_hands_nothing_on();
+    a_refused_connection_is_answered_each_command();
+    a_refused_connection_that_says_nothing_holds_nobody_up();
 }
