Tallied failures need own ones only where one vote decides; idle hosts only where they stay beside

Cause: there 6% of the routers must vote back, and each of them would have had to meet two failures; the reason given for the rule, that one router of all meets them, holds where one vote decides. Nor do earlier hosts stand idle where each is replaced.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -638,9 +638,9 @@
     // alone has pairs enough to find. Tallies come late, and neither tells which hosts failed.
     Evidence gather_told() {
         Evidence told = compare_all(pool(), kBackPairs, kBeat, now - kEvidenceAge / 2);
-        // Where the trial carries most the few picks of the earlier hosts, idle by then, are no measure of
-        // its latency.
-        const bool witnessed = trial_part() <= kMinority;
+        // Where the trial carries most the few picks of the earlier hosts, which stand idle beside it by
+        // then, are no measure of its latency.
+        const bool witnessed = terms.rollout.replaces || trial_part() <= kMinority;
         if (told.timed < kBackPairs || limit > 0 || !witnessed) told.slow = 0;
         // Tallies count picks that no host took as failures; own picks tell how many those are.
         if (!tallies.empty()) told.usual += of(known.build).tried.share();
@@ -735,8 +735,10 @@
     // those to know how many. Stops a good build from being sent back for a crowd at its first, cold hosts:
     // so many of the tallied failures count only where own failures bear them out. A bad build is found once
     // one router of all has met them.
+    // Not where several must agree: each of them would have to meet some.
     bool borne_out(const Evidence &seen) const {
-        return tallies.empty() || !many() || seen.all.failed >= kOwnFailures;
+        const bool one_decides = terms.rollout.advance == Advance::any_vote;
+        return tallies.empty() || !many() || !one_decides || seen.all.failed >= kOwnFailures;
     }
 
     // All picks slower than when the trial began, by more than more first tries or fewer sound hosts explain:
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -133,10 +133,15 @@
 //     14.350 n1 TALLY build 198 method 1 picks 157 failed 6
 //     14.4   294 routers: back for failures: 12 of 411
 //
-// A router that has met failures of its own believes the same tallies.
+// A router that has met failures of its own believes the same tallies; so does one whose vote needs others to
+// agree.
 void a_crowd_at_its_first_hosts_sends_no_good_build_back() {
-    for (const bool met : {false, true}) {
-        Bench one(fleet_terms(100));
+    enum { nothing_met, failures_met, others_must_agree };
+    for (const int what : {nothing_met, failures_met, others_must_agree}) {
+        const bool met = what == failures_met;
+        Terms given = fleet_terms(100);
+        if (what == others_must_agree) given.rollout.advance = Advance::share_of_votes;
+        Bench one(given);
         one.at(0);
         for (int i = 0; i < 60; ++i) one.host(std::to_string(i), 1 + i % 2);
         one.news(2, 1, Phase::on_trial, 1);
@@ -159,7 +164,7 @@
         one.at(41000);
         bool back = false;
         for (const Decision &made : one.pull(Act::vote)) back = back || made.verdict == Verdict::back;
-        assert(back == met);
+        assert(back == (what != nothing_met));
     }
 }
 
