Review: the router starts with the default signal actions

Cause: the child process inherited the runner's ignored SIGPIPE and its handlers until exec. Change: they are reset between fork and exec.

--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -478,6 +478,7 @@
         ++starts;
         pid = ::fork();
         if (pid == 0) {
+            for (const int number : {SIGPIPE, SIGTERM, SIGINT, SIGALRM}) std::signal(number, SIG_DFL);
             rlimit files{};
             ::getrlimit(RLIMIT_NOFILE, &files);
             files.rlim_cur = descriptors; // the limit that the configuration tells
