Client connections: move the class Connection to files of its own

The class is moved as it was: declarations to connection.hpp, definitions to connection.cpp. No behaviour is changed.

--- /dev/null
+++ b/src/router/clients/connection.cpp
@@ -0,0 +1,299 @@
+#include "router/clients/connection.hpp"
+
+#include "net/proxy/proxy.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace pineridge::router::clients {
+
+using asio::as_tuple;
+using asio::use_awaitable;
+
+SocketState socket_state(int socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {true, Milliseconds(0)};
+    return {info.tcpi_state != TCP_ESTABLISHED, Milliseconds(info.tcpi_last_data_recv)};
+}
+
+Connection::Connection(Clients &clients, asio::ip::tcp::socket socket, bool behind_proxy)
+    : clients_(clients), socket_(std::move(socket)), resume_timer_(socket_.get_executor()),
+      linger_timer_(socket_.get_executor()), session_(clients.config_.limits), last_activity_(Clock::now()),
+      awaits_proxy_header_(behind_proxy) {
+    limiter_entry_.owner = this;
+}
+
+Ticks Connection::request_admission(const asio::ip::address &from) {
+    const admission::ConnectionDecision decision =
+        clients_.connection_limiter_->try_admit(limiter_entry_, to_address_bits(from), clients_.now_ticks());
+    admitted_ = decision.admitted();
+    if (decision.evicted) static_cast<Connection *>(decision.evicted->owner)->close();
+    return clients_.admission_rules_->observe ? 0 : decision.retry_after;
+}
+
+asio::awaitable<void> Connection::serve() {
+    const auto self = shared_from_this();
+    const Limits &limits = clients_.config_.limits;
+    while (!closed_) {
+        const bool pause_for_memory = session_.has_pending_replies() && clients_.is_short_of_memory();
+        if (pause_for_memory || !may_read()) {
+            resume_timer_.expires_after(pause_for_memory ? limits.low_memory_pause
+                                                         : limits.unread_check_interval);
+            co_await resume_timer_.async_wait(as_tuple(use_awaitable));
+            // A close by the client cannot be read while reading is paused. Without this check RPCs of a
+            // client that has left would still be sent to hosts.
+            if (!closed_ && socket_state(socket_.native_handle()).peer_closed) break;
+            continue;
+        }
+        if (read_available() == ReadResult::closed) break;
+        if (closed_) break;
+        co_await socket_.async_wait(asio::socket_base::wait_read, as_tuple(use_awaitable));
+    }
+    handle_disconnect(); // ends the RPCs that are still unanswered
+}
+
+void Connection::answer(std::uint64_t slot, std::string bytes) {
+    if (closed_) return;
+    const bool served = bytes[0] == '$' || bytes[0] == '*';
+    session_.set_reply(slot, std::move(bytes));
+    if (std::erase_if(unanswered_rpcs_, [&](const auto &rpc) { return rpc.first == slot; }) > 0 && admitted_)
+        unwritten_outcomes_.push_back(served);
+    write();
+    update_buffered_bytes();
+}
+
+void Connection::close_if_idle() {
+    if (!session_.is_idle() || writing_) return;
+    if (read_available() != ReadResult::some) close();
+}
+
+void Connection::close_if_stalled(Clock::time_point now) {
+    if (!is_stalled(now)) return;
+    if (may_read() && read_available() == ReadResult::closed) return handle_disconnect();
+    if (is_stalled(now)) close();
+}
+
+void Connection::withdraw_from_limiter() {
+    if (std::exchange(admitted_, false)) clients_.connection_limiter_->closed(limiter_entry_);
+    unwritten_outcomes_.clear();
+}
+
+void Connection::reject(Ticks retry_after) {
+    std::array<char, 4096> buffer;
+    boost::system::error_code failed;
+    const std::size_t size = socket_.read_some(asio::buffer(buffer), failed);
+    if (!failed) {
+        session_.feed({buffer.data(), size});
+        std::string replies;
+        while (session_.next() == Session::Next::command)
+            replies += clients_.rejection_reply(session_.arguments(), retry_after);
+        socket_.write_some(asio::buffer(replies), failed);
+    }
+    closed_ = true;
+    socket_.close(failed);
+}
+
+bool Connection::is_stalled(Clock::time_point now) const {
+    const Limits &limits = clients_.config_.limits;
+    const AdmissionSettings *const rules = clients_.admission_rules_.get();
+    const auto configured_or = [&](Ticks AdmissionSettings::*duration, Milliseconds default_duration) {
+        return rules ? Milliseconds(rules->*duration / 10) : default_duration;
+    };
+    const Milliseconds inactive_for = std::chrono::floor<Milliseconds>(now - last_activity_);
+    if (writing_)
+        return inactive_for > configured_or(&AdmissionSettings::unread_timeout, limits.unread_answer_timeout);
+    if (session_.has_pending_replies()) return false;
+    if (session_.has_partial_command() || awaits_proxy_header_)
+        return std::chrono::floor<Milliseconds>(now - (partial_command_since_ == Clock::time_point{}
+                                                           ? last_activity_
+                                                           : partial_command_since_)) >
+               configured_or(&AdmissionSettings::command_timeout, limits.command_timeout);
+    return rules && !has_sent_command_ &&
+           inactive_for > configured_or(&AdmissionSettings::first_byte_timeout, limits.command_timeout);
+}
+
+void Connection::close() {
+    if (closed_) return;
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    resume_timer_.cancel();
+    linger_timer_.cancel();
+    for (const auto &[slot, id] : std::exchange(unanswered_rpcs_, {}))
+        clients_.handler_.handle_client_left(id);
+    if (std::exchange(admitted_, false)) clients_.connection_limiter_->closed(limiter_entry_);
+    clients_.total_buffered_bytes_ -= std::exchange(buffered_bytes_, 0);
+    clients_.remove_idle(*this);
+    clients_.connections_.erase(shared_from_this());
+    if (std::exchange(holds_descriptor, false))
+        clients_.descriptor_budget_.release(admission::Purpose::clients);
+    clients_.accept_timer_.cancel();
+}
+
+bool Connection::may_read() const {
+    return discards_input_ ? discarded_bytes_ <= clients_.config_.limits.max_discarded_bytes
+                           : session_.accepts_input();
+}
+
+// Reads what the kernel has received, without blocking, and handles the commands in it. Bytes leave the
+// kernel only here and are in the session before anything else runs. An asynchronous read could complete,
+// and a close in the same turn of the event loop, before the read's handler has run, would find neither
+// unread bytes nor a command.
+Connection::ReadResult Connection::read_available() {
+    boost::system::error_code failed;
+    const std::size_t size = socket_.read_some(asio::buffer(clients_.read_buffer_), failed);
+    if (failed == asio::error::would_block || failed == asio::error::interrupted) return ReadResult::none;
+    if (failed) return ReadResult::closed;
+    handle_bytes({clients_.read_buffer_.data(), size});
+    return ReadResult::some;
+}
+
+void Connection::handle_bytes(std::string_view bytes) {
+    if (discards_input_) {
+        discarded_bytes_ += bytes.size();
+        return;
+    }
+    clients_.remove_idle(*this);
+    last_activity_ = Clock::now();
+    if (!awaits_proxy_header_)
+        session_.feed(bytes);
+    else if (!read_proxy_header(bytes))
+        return;
+    lateness_ = clients_.lateness(socket_.native_handle(), last_activity_);
+    handle_commands();
+    write();
+    update_buffered_bytes();
+}
+
+// Reads the proxy's PROXY header, then asks for admission of the client that it names. Returns false
+// while the header is incomplete, and when it is invalid: the connection is then closed.
+bool Connection::read_proxy_header(std::string_view bytes) {
+    proxy_header_bytes_.append(bytes);
+    proxy::Header header;
+    const proxy::ScanResult scanned = proxy::scan(proxy_header_bytes_, header);
+    if (scanned == proxy::ScanResult::incomplete) return false;
+    if (scanned == proxy::ScanResult::malformed) {
+        clients_.log_(Level::warning, "admission: invalid PROXY header: ", header.error);
+        close();
+        return false;
+    }
+    awaits_proxy_header_ = false;
+    if (header.client && clients_.connection_limiter_)
+        rejected_retry_after_ = request_admission(*header.client);
+    session_.feed(std::string_view(proxy_header_bytes_).substr(header.size));
+    proxy_header_bytes_ = {};
+    return true;
+}
+
+// Has to be called after every change of what the session buffers.
+void Connection::update_buffered_bytes() {
+    if (closed_) return;
+    const std::size_t current = session_.buffered_bytes() + proxy_header_bytes_.capacity();
+    clients_.total_buffered_bytes_ += current - buffered_bytes_;
+    buffered_bytes_ = current;
+    if (!session_.has_partial_command())
+        partial_command_since_ = {};
+    else if (partial_command_since_ == Clock::time_point{})
+        partial_command_since_ = Clock::now();
+}
+
+void Connection::handle_commands() {
+    for (Session::Next next = session_.next(); next != Session::Next::none; next = session_.next()) {
+        if (next == Session::Next::malformed) {
+            discards_input_ = true;
+            session_.set_reply(session_.add_reply_slot(), "-ERR Protocol error\r\n");
+            return;
+        }
+        has_sent_command_ = true;
+        handle_command(session_.arguments());
+    }
+}
+
+// Handles commands that waited in the session because too many were in progress. They are dropped when
+// the client has left meanwhile, as nobody would receive the result of their effect.
+void Connection::handle_deferred_commands() {
+    if (discards_input_ || closed_ || !session_.has_partial_command()) return;
+    if (socket_state(socket_.native_handle()).peer_closed) return handle_disconnect();
+    handle_commands();
+}
+
+void Connection::handle_command(const std::vector<std::string_view> &arguments) {
+    const std::uint64_t slot = session_.add_reply_slot();
+    if (rejected_retry_after_ > 0) {
+        discards_input_ = true;
+        return session_.set_reply(slot, clients_.rejection_reply(arguments, rejected_retry_after_));
+    }
+    if (arguments[0] == "PING") return session_.set_reply(slot, "+PONG\r\n");
+    if (arguments[0] != "Q.ASK" && arguments[0] != "Q.DO")
+        return session_.set_reply(slot, "-ERR unknown command\r\n");
+    try {
+        const Request request =
+            parse_request(arguments, clients_.config_.names, clients_.config_.limits.max_argument_bytes);
+        unanswered_rpcs_.emplace_back(slot, request.id);
+        if (admitted_) clients_.connection_limiter_->rpc_started(limiter_entry_);
+        clients_.last_rpc_at_ = Clock::now();
+        clients_.handler_.handle_rpc({shared_from_this(), slot},
+                                     std::make_shared<const OwnedRequest>(session_.command_bytes(), request),
+                                     lateness_);
+    } catch (const BadInput &bad) {
+        clients_.log_(Level::debug, "invalid command: ", bad.what());
+        session_.set_reply(slot, std::string("-ERR ") + bad.what() + "\r\n");
+    }
+}
+
+// Starts writing the replies that are ready. Only one write is in progress at a time.
+void Connection::write() {
+    if (writing_ || closed_) return;
+    const auto parts = session_.ready_replies();
+    if (parts.empty()) {
+        if (discards_input_ && !session_.has_pending_replies()) return start_lingering_close();
+        if (session_.is_idle()) clients_.add_idle(*this);
+        return;
+    }
+    writing_ = true;
+    last_activity_ = Clock::now();
+    std::vector<asio::const_buffer> buffers;
+    for (const std::string_view part : parts) buffers.emplace_back(part.data(), part.size());
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
+                          self->writing_ = false;
+                          if (failed) return self->handle_disconnect();
+                          if (self->closed_) return;
+                          self->session_.replies_written();
+                          self->last_activity_ = Clock::now();
+                          self->report_written_replies();
+                          self->handle_deferred_commands();
+                          // Without this a busy client would use the connection again before the next
+                          // check for idle connections.
+                          if (self->clients_.shutting_down_) self->close_if_idle();
+                          if (self->closed_) return;
+                          self->resume_timer_.cancel();
+                          self->write();
+                          self->update_buffered_bytes();
+                      });
+}
+
+// Shuts down the sending side, keeps reading for a while, then closes. On a close with unread bytes the
+// kernel would reset the connection and discard replies that it has not delivered yet.
+void Connection::start_lingering_close() {
+    if (std::exchange(lingering_, true)) return;
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+    linger_timer_.expires_after(clients_.config_.limits.close_linger);
+    linger_timer_.async_wait([self = shared_from_this()](boost::system::error_code failed) {
+        if (!failed) self->close();
+    });
+}
+
+// Reports the RPCs whose replies have been written to the limiter. From then on it may evict this
+// connection.
+void Connection::report_written_replies() {
+    if (session_.has_pending_replies() || closed_) return;
+    const auto outcomes = std::exchange(unwritten_outcomes_, {});
+    if (admitted_)
+        for (const bool served : outcomes)
+            clients_.connection_limiter_->rpc_finished(limiter_entry_, served, clients_.now_ticks());
+}
+
+} // namespace pineridge::router::clients
