Close and evict client connections in every state, so that none holds its descriptor

Cause: a connection could be in a state with neither a deadline nor a place in the list from which connections are evicted: silent without admission rules, refused and kept in observe mode, accepted before SIGHUP turned admission on, with a command half read. They filled the clients' share, and accept waited at its limit for a close that nothing was sure to bring. A kernel that defers silent accepts (10 s asked for, 15 s in effect) only moved the start.

Change: admission/eviction_queue holds each open connection in one of seven states, each with a deadline, an assured end or a place in the order of eviction; room is made in that order in each mode of admission once the share is used up and somebody waits. Deadlines end within 3 s of connecting, the deferral of the kernel (1 s now) included. All that has arrived is read before a close. A refused connection is kept until its first command is whole, so that -BUSY reaches a long one too. After a failed accept descriptors are freed whatever their number; errors of one queued connection no longer count as exhaustion.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -100,8 +100,15 @@
     Milliseconds close_linger{300};
     // While a client is not read from, this is the time between checks whether it has disconnected.
     Milliseconds unread_check_interval{100};
+    // The kernel keeps a connection whose client sends nothing from the router for this long.
+    Milliseconds accept_deferral{1000};
+    // A client that does not begin its first command within this time of being accepted is closed. With
+    // accept_deferral and expiry_check_interval this is within 3 s of its connecting.
+    Milliseconds first_byte_timeout{1500};
     // A client that does not complete a command within this time is closed.
-    Milliseconds command_timeout{10000};
+    Milliseconds command_timeout{1750};
+    // Connections are checked this often for the end of these times.
+    Milliseconds expiry_check_interval{100};
 
     // --- times of calls to discovery and the platform ---
 
@@ -162,8 +169,11 @@
 
     // A listen address that an ending router still holds is retried for this long.
     Milliseconds listen_retry_time{10000};
-    // A client connection idle for less is not evicted, because its next command may be on the way.
+    // A client connection that has waited for a command for less is not evicted, because the command may be on
+    // the way.
     Milliseconds min_idle_before_eviction{100};
+    // A client that has left its replies unread for less is not evicted.
+    Milliseconds min_unread_before_eviction{1000};
     // Accepting pauses for this long after it found no free descriptor.
     Milliseconds accept_pause{5};
     // The other hosts may need more connections at once for this long after a host drains.
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -15,13 +15,44 @@
 using asio::use_awaitable;
 using Clock = std::chrono::steady_clock;
 using DeferAccept = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_DEFER_ACCEPT>;
+using admission::ConnectionState;
+using admission::EvictionQueue;
+
+// A refused or lingering connection is evicted at once: nothing but the delivery of a refusal or an error is
+// owed on it.
+EvictionQueue make_eviction_queue(const Limits &limits) {
+    std::array<EvictionQueue::Duration, admission::kConnectionStateCount> min_ages{};
+    for (const ConnectionState state :
+         {ConnectionState::silent, ConnectionState::partial_command, ConnectionState::idle})
+        min_ages[static_cast<std::size_t>(state)] = limits.min_idle_before_eviction;
+    min_ages[static_cast<std::size_t>(ConnectionState::unread_replies)] = limits.min_unread_before_eviction;
+    return EvictionQueue(min_ages);
+}
+
+// Whether an accept failed for want of a resource that closing connections releases.
+bool is_out_of_resources(const boost::system::error_code &failed) {
+    return failed == asio::error::no_descriptors ||
+           failed == boost::system::errc::too_many_files_open_in_system ||
+           failed == asio::error::no_buffer_space || failed == asio::error::no_memory;
+}
+
+// Whether an accept failed only for the connection at the front of the queue, or was interrupted: the next
+// one may succeed at once. These are the errors that accept(2) lists as those of the new socket.
+bool concerns_one_connection(const boost::system::error_code &failed) {
+    constexpr std::array kErrors{ECONNABORTED, EINTR,       EPROTO,    ENETDOWN,
+                                 ENOPROTOOPT,  EHOSTDOWN,   ENONET,    EHOSTUNREACH,
+                                 EOPNOTSUPP,   ENETUNREACH, ETIMEDOUT, ECONNRESET};
+    return failed.category() == boost::system::system_category() &&
+           std::find(kErrors.begin(), kErrors.end(), failed.value()) != kErrors.end();
+}
 
 } // namespace
 
 Clients::Clients(asio::io_context &io, const RouterConfig &config, const Log &log,
                  admission::DescriptorBudget &descriptor_budget, RequestHandler &handler)
     : io_(io), config_(config), log_(log), descriptor_budget_(descriptor_budget), handler_(handler),
-      acceptor_(io), read_buffer_(config.limits.read_chunk_bytes), accept_timer_(io) {
+      acceptor_(io), read_buffer_(config.limits.read_chunk_bytes),
+      eviction_queue_(make_eviction_queue(config.limits)), accept_timer_(io), expiry_timer_(io) {
     set_admission_rules(config.admission);
 }
 
@@ -29,8 +60,7 @@
     return std::chrono::floor<TickDuration>(Clock::now().time_since_epoch()).count();
 }
 
-// Connections that were accepted while there was no limiter stay unknown to it: only close_idle_beyond evicts
-// them.
+// Connections that were accepted while there was no limiter stay unknown to it: only make_room evicts them.
 void Clients::set_admission_rules(std::shared_ptr<const AdmissionSettings> rules) {
     // The previous rules have to live until the limiter no longer refers to them.
     const auto previous = std::exchange(admission_rules_, std::move(rules));
@@ -78,9 +108,9 @@
     if (acceptor_.is_open()) acceptor_.close();
     acceptor_.open(config_.listen.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
-    // A connection takes a descriptor only once its first bytes have arrived, so that clients which connect
-    // and send nothing do not use up the descriptors.
-    acceptor_.set_option(DeferAccept(static_cast<int>(config_.limits.command_timeout.count() / 1000)));
+    // For a while a connection takes a descriptor only once its first bytes have arrived. This slows clients
+    // down that connect and send nothing; what bounds them are the deadlines of the eviction queue.
+    acceptor_.set_option(DeferAccept(static_cast<int>(config_.limits.accept_deferral.count() / 1000)));
     acceptor_.bind(config_.listen);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     asio::co_spawn(io_, accept(), detached);
@@ -91,10 +121,7 @@
             for (;;) {
                 timer.expires_after(config_.limits.sweep_interval);
                 co_await timer.async_wait(use_awaitable);
-                const auto now = Clock::now();
-                const std::vector<std::shared_ptr<Connection>> open(connections_.begin(), connections_.end());
-                for (const auto &connection : open) connection->close_if_stalled(now);
-                if (!connection_limiter_)
+                if (!enforces_limits())
                     close_idle_beyond(config_.limits.idle_eviction_threshold, connections_.size());
                 close_largest_buffers();
             }
@@ -115,14 +142,25 @@
     if (connection_limiter_ && !behind_proxy)
         if (const Ticks retry_after = connection->request_admission(from); retry_after > 0)
             return connection->reject(retry_after);
+    register_connection(connection);
+}
+
+void Clients::register_connection(const std::shared_ptr<Connection> &connection) {
     connections_.insert(connection);
     // During shutdown every connection is accepted to be answered, so the budget may be used up here.
     connection->holds_descriptor = descriptor_budget_.acquire(admission::Purpose::clients);
-    if (!connection_limiter_)
+    connection->update_state();
+    if (!enforces_limits())
         close_idle_beyond(config_.limits.idle_eviction_threshold, config_.limits.eviction_candidates);
     asio::co_spawn(io_, connection->serve(), detached);
 }
 
+bool Clients::is_full() const {
+    // The limiter has to see every new connection: it evicts one for each that it admits beyond its capacity.
+    const std::size_t reserved = enforces_limits() ? 0 : config_.limits.proxy_header_connections;
+    return descriptor_budget_.available(admission::Purpose::clients) <= reserved;
+}
+
 // Accepts connections in batches, up to the clients' share of the descriptors; the rest wait in the listen
 // queue. Otherwise a storm of connections would take the descriptors needed to reach hosts, nothing would be
 // answered, and clients would retry forever.
@@ -131,30 +169,19 @@
     boost::system::error_code failed;
     acceptor_.non_blocking(true, failed);
     while (acceptor_.is_open()) {
-        if (!connection_limiter_ && connections_.size() >= limits.client_connections)
-            close_idle_beyond(limits.client_connections - limits.accepts_per_turn,
-                              2 * limits.accepts_per_turn);
-        // The limiter has to see every new connection: it evicts one for each that it admits beyond its
-        // capacity.
-        const std::size_t reserved = connection_limiter_ ? 0 : limits.proxy_header_connections;
-        const auto full = [&] {
-            return descriptor_budget_.available(admission::Purpose::clients) <= reserved;
-        };
-        if (full()) {
+        std::tie(failed) = co_await acceptor_.async_wait(acceptor_.wait_read, as_tuple(use_awaitable));
+        if (failed == asio::error::operation_aborted) break;
+        if (is_full()) make_room();
+        if (is_full()) {
             log_full();
             accept_timer_.expires_after(limits.accept_pause);
             co_await accept_timer_.async_wait(as_tuple(use_awaitable));
             continue;
         }
-        std::tie(failed) = co_await acceptor_.async_wait(acceptor_.wait_read, as_tuple(use_awaitable));
-        if (failed == asio::error::operation_aborted) break;
         bool none = false;
-        for (std::size_t i = 0; i < limits.accepts_per_turn && !full() && !none; ++i)
+        for (std::size_t i = 0; i < limits.accepts_per_turn && !is_full() && !none; ++i)
             none = !accept_one(failed);
-        if (failed && failed != asio::error::would_block && failed != asio::error::connection_aborted) {
-            log_(Level::warning, "accept: ", failed.message(), ", clients ", connections_.size());
-            handler_.handle_descriptors_exhausted();
-            close_idle_beyond(limits.client_connections, limits.eviction_candidates);
+        if (survive_accept_error(failed)) {
             accept_timer_.expires_after(limits.accept_pause);
             co_await accept_timer_.async_wait(as_tuple(use_awaitable));
         }
@@ -162,6 +189,18 @@
     }
 }
 
+// Handles the result of an accept; closes connections after one that failed for want of a descriptor. Returns
+// whether to wait before the next accept.
+bool Clients::survive_accept_error(const boost::system::error_code &failed) {
+    if (!failed || failed == asio::error::would_block || concerns_one_connection(failed)) return false;
+    log_(Level::warning, "accept: ", failed.message(), ", clients ", connections_.size());
+    if (is_out_of_resources(failed)) {
+        handler_.handle_descriptors_exhausted();
+        evict(eviction_candidates(config_.limits.eviction_candidates), 0);
+    }
+    return true;
+}
+
 // A connection whose client has already closed it is closed unread: it has to cost less than the client's
 // next attempt, or the queue would only grow.
 bool Clients::accept_one(boost::system::error_code &failed) {
@@ -208,36 +247,65 @@
          ", abandoned connections closed ", abandoned_);
 }
 
-void Clients::add_idle(Connection &connection) {
-    if (!connection.idle_position)
-        connection.idle_position = idle_connections_.insert(idle_connections_.end(), &connection);
+// Closes the connections that have been idle longest, until `max_open` are left. Otherwise idle connections
+// of clients that send one command and stay connected would use up the descriptors, so that new connections
+// could not be accepted and hosts not be reached.
+void Clients::close_idle_beyond(std::size_t max_open, std::size_t max_examined) {
+    if (connections_.size() <= max_open) return;
+    evict(eviction_queue_.candidates(ConnectionState::idle, Clock::now(), max_examined), max_open);
 }
 
-void Clients::remove_idle(Connection &connection) {
-    if (connection.idle_position)
-        idle_connections_.erase(*std::exchange(connection.idle_position, std::nullopt));
+// Evicts connections for a batch of new ones. Where connection limits are enforced, those go first that the
+// limiter does not know; it selects among those that it has admitted.
+void Clients::make_room() {
+    const Limits &limits = config_.limits;
+    evict(eviction_candidates(2 * limits.accepts_per_turn),
+          limits.client_connections - std::min(limits.client_connections, limits.accepts_per_turn));
+    if (!enforces_limits() || !is_full()) return;
+    const admission::ClientConnection *const selected = connection_limiter_->next_to_evict(
+        now_ticks(), admission::ConnectionLimiter::kMinIdleBeforeEviction);
+    if (selected) static_cast<Connection *>(selected->owner)->evict();
 }
 
-// Closes the connections that have been idle longest, until `max_open` are left. Otherwise idle connections
-// of clients that send one command and stay connected would use up the descriptors, so that new connections
-// could not be accepted and hosts not be reached. A connection that has not sent its first command is kept,
-// as the command may be on its way.
-void Clients::close_idle_beyond(std::size_t max_open, std::size_t max_examined) {
-    const auto now = Clock::now();
-    std::vector<std::shared_ptr<Connection>> candidates; // a copy: close_if_idle changes the list
-    for (auto next = idle_connections_.begin(); next != idle_connections_.end() && max_examined-- > 0;
-         ++next) {
-        Connection &connection = **next;
-        if (now - connection.last_activity() < config_.limits.min_idle_before_eviction)
-            break; // may be about to be used
-        if (connection.has_sent_command()) candidates.push_back(connection.shared_from_this());
-    }
-    for (const auto &connection : candidates) {
+std::vector<EvictionQueue::Entry *> Clients::eviction_candidates(std::size_t max_count) const {
+    const bool enforced = enforces_limits();
+    return eviction_queue_.candidates(Clock::now(), max_count, [enforced](const EvictionQueue::Entry &entry) {
+        return !enforced || !static_cast<const Connection *>(entry.owner)->is_admitted();
+    });
+}
+
+// Evicts the candidates in their order until `max_open` connections are left.
+void Clients::evict(const std::vector<EvictionQueue::Entry *> &candidates, std::size_t max_open) {
+    std::vector<std::shared_ptr<Connection>> connections; // they have to outlive their eviction
+    for (const EvictionQueue::Entry *const entry : candidates)
+        connections.push_back(static_cast<Connection *>(entry->owner)->shared_from_this());
+    for (const auto &connection : connections) {
         if (connections_.size() <= max_open) return;
-        connection->close_if_idle();
+        if (!connection->is_closed()) connection->evict();
     }
 }
 
+// Starts the checks of deadlines unless they are running. They end when no connection is in a state with a
+// deadline.
+void Clients::schedule_expiry_check() {
+    if (std::exchange(expiry_check_scheduled_, true)) return;
+    expiry_timer_.expires_after(config_.limits.expiry_check_interval);
+    expiry_timer_.async_wait([this](boost::system::error_code failed) {
+        if (failed) return;
+        expiry_check_scheduled_ = false;
+        close_expired();
+        if (eviction_queue_.has_deadlines()) schedule_expiry_check();
+    });
+}
+
+void Clients::close_expired() {
+    const auto now = Clock::now();
+    std::vector<std::shared_ptr<Connection>> connections; // they have to outlive their close
+    for (const EvictionQueue::Entry *const entry : eviction_queue_.expired(now))
+        connections.push_back(static_cast<Connection *>(entry->owner)->shared_from_this());
+    for (const auto &connection : connections) connection->close_if_expired(now);
+}
+
 void Clients::close_idle(std::chrono::milliseconds max_unused) {
     const auto now = Clock::now();
     const std::vector<std::shared_ptr<Connection>> open(connections_.begin(), connections_.end());
@@ -271,7 +339,7 @@
     }
     boost::system::error_code failed;
     while (accept_one(failed) || (failed != asio::error::would_block && acceptor_.is_open())) {
-        if (!failed || failed == asio::error::connection_aborted) continue;
+        if (!failed || concerns_one_connection(failed)) continue;
         // No descriptor is free. Closing the acceptor now would reset the connections in the listen queue, so
         // wait for descriptors to be released: by the shutdown deadline every accepted RPC has been answered.
         // The short grace period after it still ends before the process may be killed.
--- a/src/router/clients/clients.hpp
+++ b/src/router/clients/clients.hpp
@@ -4,13 +4,13 @@
 
 #include "admission/connection_limiter.hpp"
 #include "admission/descriptor_budget.hpp"
+#include "admission/eviction_queue.hpp"
 #include "router/clients/request.hpp"
 #include "router/clients/session.hpp"
 
 #include <boost/asio.hpp>
 
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <unordered_set>
@@ -69,12 +69,20 @@
     asio::awaitable<void> run_shutdown(std::function<void()> done);
     void close_idle(std::chrono::milliseconds max_unused);
     void close_idle_beyond(std::size_t max_open, std::size_t max_examined);
+    // Whether new connections are judged by the limiter, which then evicts for them as well.
+    bool enforces_limits() const { return connection_limiter_ && !admission_rules_->observe; }
+    bool is_full() const;
+    void make_room();
+    void evict(const std::vector<admission::EvictionQueue::Entry *> &candidates, std::size_t max_open);
+    std::vector<admission::EvictionQueue::Entry *> eviction_candidates(std::size_t max_count) const;
+    void schedule_expiry_check();
+    void close_expired();
     bool accept_one(boost::system::error_code &failed); // false: no connection could be accepted
     Milliseconds lateness(int socket, std::chrono::steady_clock::time_point now);
     void log_full();
-    void add_idle(Connection &connection);
-    void remove_idle(Connection &connection);
     void start_connection(asio::ip::tcp::socket socket, const asio::ip::address &from);
+    void register_connection(const std::shared_ptr<Connection> &connection);
+    bool survive_accept_error(const boost::system::error_code &failed);
     bool is_trusted_proxy(const asio::ip::address &from) const;
     std::string rejection_reply(const std::vector<std::string_view> &arguments, Ticks retry_after) const;
     void close_largest_buffers();
@@ -93,9 +101,11 @@
     std::vector<char> read_buffer_; // shared by all connections: it is emptied within each read
     std::size_t total_buffered_bytes_ = 0; // of all connections
     std::unordered_set<std::shared_ptr<Connection>> connections_;
-    std::list<Connection *> idle_connections_; // the one idle longest first
+    admission::EvictionQueue eviction_queue_; // holds all of connections_
     std::chrono::steady_clock::time_point last_rpc_at_{};
     asio::steady_timer accept_timer_; // cancelled when a connection closes
+    asio::steady_timer expiry_timer_; // runs while a connection is in a state with a deadline
+    bool expiry_check_scheduled_ = false;
     std::chrono::steady_clock::time_point
         lateness_checks_until_{}; // until then the lateness of each read is determined
     std::chrono::steady_clock::time_point last_full_log_{};
--- a/src/router/clients/connection.cpp
+++ b/src/router/clients/connection.cpp
@@ -7,9 +7,16 @@
 
 namespace pineridge::router::clients {
 
+using admission::ConnectionState;
 using asio::as_tuple;
 using asio::use_awaitable;
 
+namespace {
+
+constexpr const char *kProtocolErrorReply = "-ERR Protocol error\r\n";
+
+} // namespace
+
 SocketState socket_state(int socket) {
     tcp_info info{};
     socklen_t size = sizeof info;
@@ -19,16 +26,17 @@
 
 Connection::Connection(Clients &clients, asio::ip::tcp::socket socket, bool behind_proxy)
     : clients_(clients), socket_(std::move(socket)), resume_timer_(socket_.get_executor()),
-      linger_timer_(socket_.get_executor()), session_(clients.config_.limits), last_activity_(Clock::now()),
-      awaits_proxy_header_(behind_proxy) {
+      linger_timer_(socket_.get_executor()), session_(clients.config_.limits), accepted_at_(Clock::now()),
+      last_activity_(accepted_at_), awaits_proxy_header_(behind_proxy) {
     limiter_entry_.owner = this;
+    eviction_entry_.owner = this;
 }
 
 Ticks Connection::request_admission(const asio::ip::address &from) {
     const admission::ConnectionDecision decision =
         clients_.connection_limiter_->try_admit(limiter_entry_, to_address_bits(from), clients_.now_ticks());
     admitted_ = decision.admitted();
-    if (decision.evicted) static_cast<Connection *>(decision.evicted->owner)->close();
+    if (decision.evicted) static_cast<Connection *>(decision.evicted->owner)->evict();
     return clients_.admission_rules_->observe ? 0 : decision.retry_after;
 }
 
@@ -68,10 +76,25 @@
     if (read_available() != ReadResult::some) close();
 }
 
-void Connection::close_if_stalled(Clock::time_point now) {
-    if (!is_stalled(now)) return;
-    if (may_read() && read_available() == ReadResult::closed) return handle_disconnect();
-    if (is_stalled(now)) close();
+void Connection::evict() {
+    const auto self = shared_from_this();
+    switch (state()) {
+    case ConnectionState::busy: return;
+    case ConnectionState::idle: return close_if_idle();
+    case ConnectionState::lingering:
+    case ConnectionState::unread_replies: return close();
+    case ConnectionState::refused:
+    case ConnectionState::silent:
+    case ConnectionState::partial_command: break;
+    }
+    read_until_command();
+    if (awaits_command()) close();
+}
+
+void Connection::close_if_expired(Clock::time_point now) {
+    const auto self = shared_from_this();
+    read_until_command();
+    if (!closed_ && deadline(state()) <= now) close();
 }
 
 void Connection::withdraw_from_limiter() {
@@ -79,38 +102,92 @@
     unwritten_outcomes_.clear();
 }
 
+// Handles floods of connections: a command that has arrived with the connection costs one write and one
+// close, and the connection is never registered.
 void Connection::reject(Ticks retry_after) {
-    std::array<char, 4096> buffer;
+    rejected_retry_after_ = retry_after;
     boost::system::error_code failed;
-    const std::size_t size = socket_.read_some(asio::buffer(buffer), failed);
-    if (!failed) {
-        session_.feed({buffer.data(), size});
-        std::string replies;
-        while (session_.next() == Session::Next::command)
-            replies += clients_.rejection_reply(session_.arguments(), retry_after);
-        socket_.write_some(asio::buffer(replies), failed);
+    const std::string replies = reply_to_arrived_commands(failed);
+    boost::system::error_code write_failed;
+    if (!replies.empty()) socket_.write_some(asio::buffer(replies), write_failed);
+    const bool client_left =
+        failed && failed != asio::error::would_block && failed != asio::error::interrupted;
+    if (client_left || write_failed || (!replies.empty() && !session_.has_partial_command())) {
+        closed_ = true;
+        socket_.close(failed);
+        return;
     }
-    closed_ = true;
-    socket_.close(failed);
+    clients_.register_connection(shared_from_this());
+    if (replies.empty()) return;
+    discards_input_ = true;
+    start_lingering_close();
+}
+
+// Reads what has arrived on a refused connection and returns the replies to the commands in it. `failed` is
+// the error that ended the reading.
+std::string Connection::reply_to_arrived_commands(boost::system::error_code &failed) {
+    std::string replies;
+    std::size_t received = 0;
+    while (!failed && received <= clients_.config_.limits.max_discarded_bytes) {
+        const std::size_t size = socket_.read_some(asio::buffer(clients_.read_buffer_), failed);
+        received += size;
+        session_.feed({clients_.read_buffer_.data(), size});
+        Session::Next next = session_.next();
+        for (; next == Session::Next::command; next = session_.next())
+            replies += clients_.rejection_reply(session_.arguments(), rejected_retry_after_);
+        if (next != Session::Next::malformed) continue;
+        replies += kProtocolErrorReply;
+        break;
+    }
+    return replies;
 }
 
-bool Connection::is_stalled(Clock::time_point now) const {
+ConnectionState Connection::state() const {
+    if (lingering_) return ConnectionState::lingering;
+    if (writing_) return ConnectionState::unread_replies;
+    if (session_.has_pending_replies()) return ConnectionState::busy;
+    if (rejected_retry_after_ > 0 && !has_sent_command_) return ConnectionState::refused;
+    if (session_.has_partial_command() || !proxy_header_bytes_.empty())
+        return ConnectionState::partial_command;
+    return has_sent_command_ ? ConnectionState::idle : ConnectionState::silent;
+}
+
+Connection::Clock::time_point Connection::deadline(ConnectionState state) const {
     const Limits &limits = clients_.config_.limits;
     const AdmissionSettings *const rules = clients_.admission_rules_.get();
     const auto configured_or = [&](Ticks AdmissionSettings::*duration, Milliseconds default_duration) {
         return rules ? Milliseconds(rules->*duration / 10) : default_duration;
     };
-    const Milliseconds inactive_for = std::chrono::floor<Milliseconds>(now - last_activity_);
-    if (writing_)
-        return inactive_for > configured_or(&AdmissionSettings::unread_timeout, limits.unread_answer_timeout);
-    if (session_.has_pending_replies()) return false;
-    if (session_.has_partial_command() || awaits_proxy_header_)
-        return std::chrono::floor<Milliseconds>(now - (partial_command_since_ == Clock::time_point{}
-                                                           ? last_activity_
-                                                           : partial_command_since_)) >
+    switch (state) {
+    case ConnectionState::refused:
+    case ConnectionState::silent:
+        return accepted_at_ +
+               configured_or(&AdmissionSettings::first_byte_timeout, limits.first_byte_timeout);
+    case ConnectionState::partial_command:
+        // The time of the first command runs from the start of the connection, so that a client cannot
+        // prolong it by sending the first byte late.
+        return (has_sent_command_ ? partial_command_since_ : accepted_at_) +
                configured_or(&AdmissionSettings::command_timeout, limits.command_timeout);
-    return rules && !has_sent_command_ &&
-           inactive_for > configured_or(&AdmissionSettings::first_byte_timeout, limits.command_timeout);
+    case ConnectionState::unread_replies:
+        return last_activity_ +
+               configured_or(&AdmissionSettings::unread_timeout, limits.unread_answer_timeout);
+    case ConnectionState::lingering: // ended by linger_timer_
+    case ConnectionState::idle:
+    case ConnectionState::busy: break;
+    }
+    return Clock::time_point::max();
+}
+
+void Connection::update_state() {
+    if (closed_) return;
+    if (!session_.has_partial_command())
+        partial_command_since_ = {};
+    else if (partial_command_since_ == Clock::time_point{})
+        partial_command_since_ = Clock::now();
+    const ConnectionState current = state();
+    const Clock::time_point expires_at = deadline(current);
+    clients_.eviction_queue_.set_state(eviction_entry_, current, Clock::now(), expires_at);
+    if (expires_at != Clock::time_point::max()) clients_.schedule_expiry_check();
 }
 
 void Connection::close() {
@@ -124,7 +201,7 @@
         clients_.handler_.handle_client_left(id);
     if (std::exchange(admitted_, false)) clients_.connection_limiter_->closed(limiter_entry_);
     clients_.total_buffered_bytes_ -= std::exchange(buffered_bytes_, 0);
-    clients_.remove_idle(*this);
+    clients_.eviction_queue_.remove(eviction_entry_);
     clients_.connections_.erase(shared_from_this());
     if (std::exchange(holds_descriptor, false))
         clients_.descriptor_budget_.release(admission::Purpose::clients);
@@ -149,17 +226,32 @@
     return ReadResult::some;
 }
 
+bool Connection::awaits_command() const {
+    if (closed_) return false;
+    const ConnectionState current = state();
+    return current == ConnectionState::refused || current == ConnectionState::silent ||
+           current == ConnectionState::partial_command;
+}
+
+// Reads all that has arrived while a command is awaited; a client that has left is closed.
+void Connection::read_until_command() {
+    while (awaits_command() && may_read()) {
+        const ReadResult result = read_available();
+        if (result == ReadResult::closed) return handle_disconnect();
+        if (result == ReadResult::none) return;
+    }
+}
+
 void Connection::handle_bytes(std::string_view bytes) {
     if (discards_input_) {
         discarded_bytes_ += bytes.size();
         return;
     }
-    clients_.remove_idle(*this);
     last_activity_ = Clock::now();
     if (!awaits_proxy_header_)
         session_.feed(bytes);
     else if (!read_proxy_header(bytes))
-        return;
+        return update_state();
     lateness_ = clients_.lateness(socket_.native_handle(), last_activity_);
     handle_commands();
     write();
@@ -192,17 +284,14 @@
     const std::size_t current = session_.buffered_bytes() + proxy_header_bytes_.capacity();
     clients_.total_buffered_bytes_ += current - buffered_bytes_;
     buffered_bytes_ = current;
-    if (!session_.has_partial_command())
-        partial_command_since_ = {};
-    else if (partial_command_since_ == Clock::time_point{})
-        partial_command_since_ = Clock::now();
+    update_state();
 }
 
 void Connection::handle_commands() {
     for (Session::Next next = session_.next(); next != Session::Next::none; next = session_.next()) {
         if (next == Session::Next::malformed) {
             discards_input_ = true;
-            session_.set_reply(session_.add_reply_slot(), "-ERR Protocol error\r\n");
+            session_.set_reply(session_.add_reply_slot(), kProtocolErrorReply);
             return;
         }
         has_sent_command_ = true;
@@ -248,7 +337,6 @@
     const auto parts = session_.ready_replies();
     if (parts.empty()) {
         if (discards_input_ && !session_.has_pending_replies()) return start_lingering_close();
-        if (session_.is_idle()) clients_.add_idle(*this);
         return;
     }
     writing_ = true;
@@ -278,6 +366,7 @@
 // kernel would reset the connection and discard replies that it has not delivered yet.
 void Connection::start_lingering_close() {
     if (std::exchange(lingering_, true)) return;
+    update_state();
     boost::system::error_code ignored;
     socket_.shutdown(asio::socket_base::shutdown_send, ignored);
     linger_timer_.expires_after(clients_.config_.limits.close_linger);
--- a/src/router/clients/connection.hpp
+++ b/src/router/clients/connection.hpp
@@ -21,41 +21,53 @@
 
     Connection(Clients &clients, asio::ip::tcp::socket socket, bool behind_proxy);
 
-    // Asks the connection limiter to admit this connection, and closes the connection that it evicts in
+    // Asks the connection limiter to admit this connection, and evicts the connection that it selects in
     // return. Returns 0 where the connection may stay, as it always may in observe mode; else it is refused
     // and the client may retry after the returned time.
     Ticks request_admission(const asio::ip::address &from);
-    // Pushes back each command that has already arrived, then closes the connection. This path handles floods
-    // of connections, so it costs one read, one write and one close.
+    // Refuses the connection. The commands that have arrived are pushed back, and the connection is closed if
+    // nothing else has arrived. Otherwise it stays open: its first command is pushed back once it is
+    // complete.
     void reject(Ticks retry_after);
     asio::awaitable<void> serve();
     void answer(std::uint64_t slot, std::string bytes);
+    // Enters the connection's present state in the eviction queue. Has to be called after every change of
+    // what the state depends on.
+    void update_state();
 
     // Closes the connection unless a command is incomplete or unanswered on it. It is read once more right
     // before the close, so that bytes which have arrived by then are handled and answered. The client of a
     // command that arrives later sees the close without a reply, and sends the command again elsewhere.
     void close_if_idle();
-    // Closes a stalled connection, unless bytes that have arrived meanwhile let it make progress.
-    void close_if_stalled(Clock::time_point now);
+    // Closes the connection to make room for others. Like each close of a connection that may carry a
+    // command, it reads first what has arrived: a connection on which a command is then unanswered stays
+    // open.
+    void evict();
+    // Closes the connection if it has not left its state by its deadline, even with the bytes that have
+    // arrived by now.
+    void close_if_expired(Clock::time_point now);
     void close();
     void withdraw_from_limiter();
 
-    // True where the client has been inactive for too long: it does not read its replies, does not
-    // complete a command or its PROXY header, or has not sent a first byte.
-    bool is_stalled(Clock::time_point now) const;
+    bool is_closed() const { return closed_; }
+    bool is_admitted() const { return admitted_; } // by the connection limiter, which may evict it
     bool has_sent_command() const { return has_sent_command_; }
     Clock::time_point last_activity() const { return last_activity_; }
     std::size_t buffered_bytes() const { return buffered_bytes_; }
     bool has_pending_replies() const { return session_.has_pending_replies(); }
 
     bool holds_descriptor = false; // from the descriptor budget
-    std::optional<std::list<Connection *>::iterator> idle_position; // set while in idle_connections_
 
   private:
     enum class ReadResult { none, some, closed };
 
+    admission::ConnectionState state() const;
+    Clock::time_point deadline(admission::ConnectionState state) const; // of the present stay in the state
+    bool awaits_command() const; // and no reply is pending
     bool may_read() const;
     ReadResult read_available();
+    void read_until_command();
+    std::string reply_to_arrived_commands(boost::system::error_code &failed);
     void handle_bytes(std::string_view bytes);
     bool read_proxy_header(std::string_view bytes);
     void update_buffered_bytes();
@@ -74,14 +86,16 @@
     asio::steady_timer resume_timer_, linger_timer_;
     Session session_;
     std::vector<std::pair<std::uint64_t, std::string>> unanswered_rpcs_; // reply slots and ids
+    const Clock::time_point accepted_at_;
     Clock::time_point last_activity_;
     Milliseconds lateness_{0}; // how long the bytes read last had been waiting in the kernel
     Clock::time_point partial_command_since_{}; // when the incomplete command started
     admission::ClientConnection limiter_entry_;
+    admission::EvictionQueue::Entry eviction_entry_;
     std::vector<bool> unwritten_outcomes_; // of answered RPCs whose replies are not all written: served?
     std::string proxy_header_bytes_; // received so far
     std::size_t buffered_bytes_ = 0; // its part of Clients::total_buffered_bytes_
-    Ticks rejected_retry_after_ = 0; // above 0: closed once its first command is pushed back
+    Ticks rejected_retry_after_ = 0; // above 0: closed once its first command has been pushed back
     bool writing_ = false;
     bool closed_ = false;
     bool discards_input_ = false; // after malformed input or a rejection
--- a/src/settings/admission.hpp
+++ b/src/settings/admission.hpp
@@ -65,8 +65,8 @@
     Ticks trust_half_life = 6000000;
     // A client is closed when it does not send its first byte, complete a command or read its answers in
     // time.
-    Ticks first_byte_timeout = 100000;
-    Ticks command_timeout = 100000;
+    Ticks first_byte_timeout = 15000;
+    Ticks command_timeout = 17500;
     Ticks unread_timeout = 100000;
     // Connections from these load balancers begin with a PROXY header.
     std::vector<Network> trusted_proxies;
