Read commands and answers only into memory that has been reserved for them

Change: admission/memory_budget counts reserved bytes, and what cannot be reserved is not read. A connection has a buffer of 4 KiB; the size that a command or an answer tells is reserved beyond that, with the old block while the buffer grows, and goes with the bytes to their end: moved, not copied. Arguments but the body are bounded by their length, so that the size of a command is known early. A long command for which there is no memory stays in the kernel, connections with commands that are incomplete for 0.1 s go for it, and after 1 s it gets -BUSY; a long answer waits in the kernel up to its pick's deadline.

Why this holds: the sum cannot grow but by a reservation, and a reservation fails at the bound. A quarter of each budget is for small ones, so that usual clients get through.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -30,6 +30,17 @@
     // The process may be killed soon after this time has passed since SIGTERM.
     Milliseconds shutdown_timeout;
 
+    // --- shares of the memory ---
+
+    // Commands of clients, from their first byte beyond a small one until their RPCs have been answered.
+    std::size_t request_memory_bytes;
+    // Answers of hosts, until their clients have been sent them.
+    std::size_t answer_memory_bytes;
+    // This part of each of the two is kept for small commands and answers.
+    double small_memory_share = 0.25;
+    // What an open RPC counts for beside its command: its state, its picks and a small answer.
+    std::size_t rpc_overhead_bytes = 6 * 1024;
+
     // --- shares of the descriptors ---
 
     std::size_t client_connections;
@@ -58,9 +69,9 @@
     // --- bounds of one connection ---
 
     std::size_t max_value_bytes = 64 * 1024;
-    std::size_t max_command_bytes = 160 * 1024; // key, id, names and body together
     std::size_t max_arguments = 16;
     std::size_t max_argument_bytes = 256; // applies to an id or a key
+    std::size_t max_fields_bytes = 2048; // of the list of names and values
     std::size_t max_nesting = 4;
     std::size_t max_resp_line_bytes = 1024;
     std::size_t first_read_bytes = 4096;
@@ -169,8 +180,8 @@
 
     // A listen address that an ending router still holds is retried for this long.
     Milliseconds listen_retry_time{10000};
-    // A client connection that has waited for a command for less is not evicted, because the command may be on
-    // the way.
+    // A client connection that has waited for a command for less is not evicted, because the command may be
+    // on the way.
     Milliseconds min_idle_before_eviction{100};
     // A client that has left its replies unread for less is not evicted.
     Milliseconds min_unread_before_eviction{1000};
@@ -178,8 +189,10 @@
     Milliseconds accept_pause{5};
     // The other hosts may need more connections at once for this long after a host drains.
     Milliseconds drain_time{2000};
-    // While memory is short, a client with pending answers is read again after this pause.
+    // While memory is short, a connection is read again after this pause.
     Milliseconds low_memory_pause{20};
+    // A command for which there was no memory for this long is pushed back.
+    Milliseconds low_memory_timeout{1000};
     // A shorter unread time counts as none, because the kernel's clock has steps of 4 ms.
     Milliseconds min_lateness{8};
     // Every read is checked for this long after a late one.
--- a/src/net/resp/resp.cpp
+++ b/src/net/resp/resp.cpp
@@ -25,8 +25,8 @@
 
 ScanResult scan_bulk(std::string_view bytes, std::size_t header_size, const Bounds &bounds, Value &value) {
     long size = 0;
-    if (!read_integer(value.body, size) || size < -1 || size > static_cast<long>(bounds.max_bulk_bytes))
-        return ScanResult::malformed;
+    if (!read_integer(value.body, size) || size < -1) return ScanResult::malformed;
+    if (size > static_cast<long>(bounds.max_bulk_bytes)) return ScanResult::too_long;
     if (size < 0) {
         value.kind = Kind::null;
         value.body = {};
@@ -36,7 +36,8 @@
     const std::size_t end = header_size + static_cast<std::size_t>(size);
     if (bytes.size() > end && bytes[end] != '\r') return ScanResult::malformed;
     if (bytes.size() > end + 1 && bytes[end + 1] != '\n') return ScanResult::malformed;
-    if (bytes.size() < end + 2) return ScanResult::incomplete;
+    value.min_size = end + 2;
+    if (bytes.size() < value.min_size) return ScanResult::incomplete;
     value.body = bytes.substr(header_size, static_cast<std::size_t>(size));
     value.raw = bytes.substr(0, end + 2);
     return ScanResult::complete;
@@ -51,13 +52,17 @@
     if (count > 0 && bounds.max_nesting == 0) return ScanResult::malformed;
     Bounds inner = bounds;
     if (count > 0) --inner.max_nesting;
+    inner.max_item_bytes = {};
     std::size_t position = header_size;
     value.items.clear();
     for (long i = 0; i < count; ++i) {
+        const auto index = static_cast<std::size_t>(i);
+        inner.max_bulk_bytes =
+            index < bounds.max_item_bytes.size() ? bounds.max_item_bytes[index] : bounds.max_bulk_bytes;
         Value &item = value.items.emplace_back();
-        if (const ScanResult result = scan(bytes.substr(position), inner, item);
-            result != ScanResult::complete)
-            return result;
+        const ScanResult result = scan(bytes.substr(position), inner, item);
+        value.min_size = position + item.min_size;
+        if (result != ScanResult::complete) return result;
         position += item.raw.size();
     }
     value.raw = bytes.substr(0, position);
@@ -67,6 +72,7 @@
 } // namespace
 
 ScanResult scan(std::string_view bytes, const Bounds &bounds, Value &value) {
+    value.min_size = bytes.size() + 1;
     if (bytes.empty()) return ScanResult::incomplete;
     static constexpr std::string_view kTypeBytes = "+-:$*";
     const std::size_t type_index = kTypeBytes.find(bytes[0]);
--- a/src/router/clients/clients.cpp
+++ b/src/router/clients/clients.cpp
@@ -48,14 +48,27 @@
 
 } // namespace
 
+std::shared_ptr<admission::MemoryBudget> make_memory_budget(std::size_t total_bytes, const Limits &limits) {
+    const auto kept_for_small =
+        static_cast<std::size_t>(static_cast<double>(total_bytes) * limits.small_memory_share);
+    return std::make_shared<admission::MemoryBudget>(
+        total_bytes, resp::ReceiveBuffer::kSmallBytes + limits.rpc_overhead_bytes, kept_for_small);
+}
+
 Clients::Clients(asio::io_context &io, const RouterConfig &config, const Log &log,
-                 admission::DescriptorBudget &descriptor_budget, RequestHandler &handler)
-    : io_(io), config_(config), log_(log), descriptor_budget_(descriptor_budget), handler_(handler),
-      acceptor_(io), read_buffer_(config.limits.read_chunk_bytes),
-      eviction_queue_(make_eviction_queue(config.limits)), accept_timer_(io), expiry_timer_(io) {
+                 admission::DescriptorBudget &descriptor_budget,
+                 std::shared_ptr<admission::MemoryBudget> answer_memory, RequestHandler &handler)
+    : io_(io), config_(config), log_(log), descriptor_budget_(descriptor_budget),
+      request_memory_(make_memory_budget(config.limits.request_memory_bytes, config.limits)),
+      answer_memory_(std::move(answer_memory)), handler_(handler), acceptor_(io),
+      read_buffer_(config.limits.read_chunk_bytes), eviction_queue_(make_eviction_queue(config.limits)),
+      accept_timer_(io), expiry_timer_(io) {
     set_admission_rules(config.admission);
+    answer_memory_->on_shortage([this] { schedule_answer_memory_relief(); });
 }
 
+Clients::~Clients() { answer_memory_->on_shortage({}); }
+
 Ticks Clients::now_ticks() {
     return std::chrono::floor<TickDuration>(Clock::now().time_since_epoch()).count();
 }
@@ -88,19 +101,61 @@
     return clients::busy_reply(permitted_retry_after(config_.deployment, retry_after));
 }
 
-// Where memory is short, closes connections without pending replies, those with the largest buffers first.
-// Connections with pending replies are kept, and are not read from meanwhile (Connection::serve).
-void Clients::close_largest_buffers() {
-    if (!is_short_of_memory()) return;
-    std::vector<std::shared_ptr<Connection>> large;
-    for (const auto &connection : connections_)
-        if (!connection->has_pending_replies()) large.push_back(connection);
-    std::sort(large.begin(), large.end(),
-              [](const auto &a, const auto &b) { return a->buffered_bytes() > b->buffered_bytes(); });
-    std::size_t closed = 0;
-    for (; closed < large.size() && is_short_of_memory(); ++closed) large[closed]->close();
-    log_(Level::warning, "admission: client buffers over the memory limit, connections closed ", closed,
-         ", held KiB ", total_buffered_bytes_ / 1024);
+// Reserves memory for a command. Where there is too little, connections are evicted for it that hold memory
+// for a command which has been incomplete for a while.
+admission::MemoryReservation Clients::reserve_request_memory(std::size_t bytes, const Connection &asking) {
+    admission::MemoryReservation memory = request_memory_->try_reserve(bytes);
+    if (memory.bytes() > 0 || std::exchange(frees_request_memory_, true)) return memory;
+    std::vector<std::shared_ptr<Connection>> holders;
+    for (const EvictionQueue::Entry *const entry :
+         eviction_queue_.candidates(ConnectionState::partial_command, Clock::now(), connections_.size())) {
+        auto *const connection = static_cast<Connection *>(entry->owner);
+        if (connection != &asking && connection->holds_memory())
+            holders.push_back(connection->shared_from_this());
+    }
+    std::size_t evicted = 0;
+    for (; evicted < holders.size() && memory.bytes() == 0; ++evicted) {
+        if (!holders[evicted]->is_closed()) holders[evicted]->evict();
+        memory = request_memory_->try_reserve(bytes);
+    }
+    frees_request_memory_ = false;
+    if (evicted > 0) log_memory_shortage(evicted);
+    return memory;
+}
+
+void Clients::log_memory_shortage(std::size_t evicted) {
+    const auto now = Clock::now();
+    memory_evictions_ += evicted;
+    if (now < last_memory_log_ + config_.limits.sweep_interval) return;
+    last_memory_log_ = now;
+    log_(Level::warning, "admission: client buffers over the memory limit, connections closed ",
+         std::exchange(memory_evictions_, 0), ", held KiB ", request_memory_->bytes_in_use() / 1024,
+         " of commands, ", answer_memory_->bytes_in_use() / 1024, " of answers");
+}
+
+// Not at once: the shortage is noticed while an RPC is answered, and a close tells the module that clients
+// have left.
+void Clients::schedule_answer_memory_relief() {
+    if (std::exchange(answer_memory_relief_scheduled_, true)) return;
+    asio::post(io_, [this] {
+        answer_memory_relief_scheduled_ = false;
+        relieve_answer_memory();
+    });
+}
+
+// Closes connections whose clients do not read their replies.
+void Clients::relieve_answer_memory() {
+    const auto unread =
+        eviction_queue_.candidates(ConnectionState::unread_replies, Clock::now(), connections_.size());
+    if (unread.empty()) return;
+    evict(unread, 0);
+    log_memory_shortage(unread.size());
+}
+
+std::string Clients::low_memory_reply() const {
+    const Ticks retry_after =
+        std::chrono::duration_cast<TickDuration>(config_.limits.low_memory_timeout).count();
+    return clients::busy_reply(permitted_retry_after(config_.deployment, retry_after));
 }
 
 void Clients::listen() {
@@ -123,14 +178,13 @@
                 co_await timer.async_wait(use_awaitable);
                 if (!enforces_limits())
                     close_idle_beyond(config_.limits.idle_eviction_threshold, connections_.size());
-                close_largest_buffers();
             }
         },
         detached);
 }
 
-void Clients::answer(const ReplyTarget &target, std::string bytes) {
-    target.connection->answer(target.slot, std::move(bytes));
+void Clients::answer(const ReplyTarget &target, std::string bytes, admission::MemoryReservation memory) {
+    target.connection->answer(target.slot, std::move(bytes), std::move(memory));
 }
 
 void Clients::start_connection(asio::ip::tcp::socket socket, const asio::ip::address &from) {
@@ -262,8 +316,8 @@
     evict(eviction_candidates(2 * limits.accepts_per_turn),
           limits.client_connections - std::min(limits.client_connections, limits.accepts_per_turn));
     if (!enforces_limits() || !is_full()) return;
-    const admission::ClientConnection *const selected = connection_limiter_->next_to_evict(
-        now_ticks(), admission::ConnectionLimiter::kMinIdleBeforeEviction);
+    const admission::ClientConnection *const selected =
+        connection_limiter_->next_to_evict(now_ticks(), admission::ConnectionLimiter::kMinIdleBeforeEviction);
     if (selected) static_cast<Connection *>(selected->owner)->evict();
 }
 
--- a/src/router/clients/connection.cpp
+++ b/src/router/clients/connection.cpp
@@ -11,12 +11,6 @@
 using asio::as_tuple;
 using asio::use_awaitable;
 
-namespace {
-
-constexpr const char *kProtocolErrorReply = "-ERR Protocol error\r\n";
-
-} // namespace
-
 SocketState socket_state(int socket) {
     tcp_info info{};
     socklen_t size = sizeof info;
@@ -44,35 +38,46 @@
     const auto self = shared_from_this();
     const Limits &limits = clients_.config_.limits;
     while (!closed_) {
-        const bool pause_for_memory = session_.has_pending_replies() && clients_.is_short_of_memory();
-        if (pause_for_memory || !may_read()) {
-            resume_timer_.expires_after(pause_for_memory ? limits.low_memory_pause
-                                                         : limits.unread_check_interval);
-            co_await resume_timer_.async_wait(as_tuple(use_awaitable));
-            // A close by the client cannot be read while reading is paused. Without this check RPCs of a
-            // client that has left would still be sent to hosts.
-            if (!closed_ && socket_state(socket_.native_handle()).peer_closed) break;
+        // No more RPCs are taken on whose answers would wait behind those that are not read.
+        const bool pause_for_answers =
+            session_.has_pending_replies() && clients_.answer_memory_->is_exhausted();
+        if (pause_for_answers || !may_read()) {
+            if (!co_await pause(pause_for_answers ? limits.low_memory_pause : limits.unread_check_interval))
+                break;
+            continue;
+        }
+        const ReadResult result = read_available();
+        if (result == ReadResult::closed || closed_) break;
+        if (result == ReadResult::no_memory) {
+            if (!co_await pause(limits.low_memory_pause)) break;
             continue;
         }
-        if (read_available() == ReadResult::closed) break;
-        if (closed_) break;
         co_await socket_.async_wait(asio::socket_base::wait_read, as_tuple(use_awaitable));
     }
     handle_disconnect(); // ends the RPCs that are still unanswered
 }
 
-void Connection::answer(std::uint64_t slot, std::string bytes) {
+// Waits before the next read. Returns whether the connection is still open: a close by the client cannot be
+// read while reading is paused, and RPCs of a client that has left would still be sent to hosts.
+asio::awaitable<bool> Connection::pause(Milliseconds duration) {
+    resume_timer_.expires_after(duration);
+    co_await resume_timer_.async_wait(as_tuple(use_awaitable));
+    co_return !closed_ && !socket_state(socket_.native_handle()).peer_closed;
+}
+
+void Connection::answer(std::uint64_t slot, std::string bytes, admission::MemoryReservation memory) {
     if (closed_) return;
     const bool served = bytes[0] == '$' || bytes[0] == '*';
-    session_.set_reply(slot, std::move(bytes));
+    if (memory.bytes() == 0) memory = clients_.answer_memory_->reserve(bytes.capacity());
+    session_.set_reply(slot, std::move(bytes), std::move(memory));
     if (std::erase_if(unanswered_rpcs_, [&](const auto &rpc) { return rpc.first == slot; }) > 0 && admitted_)
         unwritten_outcomes_.push_back(served);
     write();
-    update_buffered_bytes();
+    update_state();
 }
 
 void Connection::close_if_idle() {
-    if (!session_.is_idle() || writing_) return;
+    if (!session_.is_idle() || writing_ || discards_input_) return;
     if (read_available() != ReadResult::some) close();
 }
 
@@ -123,20 +128,23 @@
     start_lingering_close();
 }
 
-// Reads what has arrived on a refused connection and returns the replies to the commands in it. `failed` is
-// the error that ended the reading.
+// Reads what has arrived on a refused connection, up to a command that is not small, and returns the replies
+// to the commands in it. `failed` is the error that ended the reading.
 std::string Connection::reply_to_arrived_commands(boost::system::error_code &failed) {
     std::string replies;
-    std::size_t received = 0;
-    while (!failed && received <= clients_.config_.limits.max_discarded_bytes) {
-        const std::size_t size = socket_.read_some(asio::buffer(clients_.read_buffer_), failed);
-        received += size;
+    while (session_.wanted_capacity() <= resp::ReceiveBuffer::kSmallBytes &&
+           replies.size() <= clients_.config_.limits.max_unsent_bytes) {
+        const std::size_t size =
+            socket_.read_some(asio::buffer(clients_.read_buffer_.data(),
+                                           std::min(session_.space(), clients_.read_buffer_.size())),
+                              failed);
+        if (failed) break;
         session_.feed({clients_.read_buffer_.data(), size});
         Session::Next next = session_.next();
         for (; next == Session::Next::command; next = session_.next())
             replies += clients_.rejection_reply(session_.arguments(), rejected_retry_after_);
         if (next != Session::Next::malformed) continue;
-        replies += kProtocolErrorReply;
+        replies += "-ERR " + session_.error() + "\r\n";
         break;
     }
     return replies;
@@ -200,7 +208,7 @@
     for (const auto &[slot, id] : std::exchange(unanswered_rpcs_, {}))
         clients_.handler_.handle_client_left(id);
     if (std::exchange(admitted_, false)) clients_.connection_limiter_->closed(limiter_entry_);
-    clients_.total_buffered_bytes_ -= std::exchange(buffered_bytes_, 0);
+    command_memory_.release();
     clients_.eviction_queue_.remove(eviction_entry_);
     clients_.connections_.erase(shared_from_this());
     if (std::exchange(holds_descriptor, false))
@@ -218,14 +226,50 @@
 // and a close in the same turn of the event loop, before the read's handler has run, would find neither
 // unread bytes nor a command.
 Connection::ReadResult Connection::read_available() {
+    if (!reserve_command_memory()) return ReadResult::no_memory;
+    const std::size_t space = discards_input_        ? clients_.read_buffer_.size()
+                              : awaits_proxy_header_ ? proxy::kMaxHeaderBytes - proxy_header_bytes_.size()
+                                                     : session_.space();
     boost::system::error_code failed;
-    const std::size_t size = socket_.read_some(asio::buffer(clients_.read_buffer_), failed);
+    const std::size_t size = socket_.read_some(
+        asio::buffer(clients_.read_buffer_.data(), std::min(space, clients_.read_buffer_.size())), failed);
     if (failed == asio::error::would_block || failed == asio::error::interrupted) return ReadResult::none;
     if (failed) return ReadResult::closed;
     handle_bytes({clients_.read_buffer_.data(), size});
     return ReadResult::some;
 }
 
+// Reserves the memory that the command being received needs, if that is not small. What has not been reserved
+// is not read. A command that has waited for memory for too long is pushed back.
+bool Connection::reserve_command_memory() {
+    const std::size_t wanted = session_.wanted_capacity();
+    if (wanted <= resp::ReceiveBuffer::kSmallBytes || discards_input_) return true;
+    admission::MemoryReservation memory =
+        clients_.reserve_request_memory(wanted + clients_.config_.limits.rpc_overhead_bytes, *this);
+    if (memory.bytes() > 0) {
+        session_.grow(wanted);
+        command_memory_ = std::move(memory); // the former buffer counts up to here
+        waits_for_memory_since_.reset();
+        return true;
+    }
+    const auto now = Clock::now();
+    if (!waits_for_memory_since_) waits_for_memory_since_ = now;
+    if (now - *waits_for_memory_since_ >= clients_.config_.limits.low_memory_timeout)
+        push_back_unread_command();
+    return false;
+}
+
+// The rest of the command is discarded, and the connection is closed.
+void Connection::push_back_unread_command() {
+    waits_for_memory_since_.reset();
+    session_.discard_input();
+    command_memory_.release();
+    discards_input_ = true;
+    session_.set_reply(session_.add_reply_slot(), clients_.low_memory_reply());
+    write();
+    update_state();
+}
+
 bool Connection::awaits_command() const {
     if (closed_) return false;
     const ConnectionState current = state();
@@ -238,7 +282,7 @@
     while (awaits_command() && may_read()) {
         const ReadResult result = read_available();
         if (result == ReadResult::closed) return handle_disconnect();
-        if (result == ReadResult::none) return;
+        if (result != ReadResult::some) return;
     }
 }
 
@@ -255,7 +299,7 @@
     lateness_ = clients_.lateness(socket_.native_handle(), last_activity_);
     handle_commands();
     write();
-    update_buffered_bytes();
+    update_state();
 }
 
 // Reads the proxy's PROXY header, then asks for admission of the client that it names. Returns false
@@ -278,25 +322,18 @@
     return true;
 }
 
-// Has to be called after every change of what the session buffers.
-void Connection::update_buffered_bytes() {
-    if (closed_) return;
-    const std::size_t current = session_.buffered_bytes() + proxy_header_bytes_.capacity();
-    clients_.total_buffered_bytes_ += current - buffered_bytes_;
-    buffered_bytes_ = current;
-    update_state();
-}
-
 void Connection::handle_commands() {
     for (Session::Next next = session_.next(); next != Session::Next::none; next = session_.next()) {
         if (next == Session::Next::malformed) {
             discards_input_ = true;
-            session_.set_reply(session_.add_reply_slot(), kProtocolErrorReply);
-            return;
+            session_.set_reply(session_.add_reply_slot(), "-ERR " + session_.error() + "\r\n");
+            session_.discard_input();
+            break;
         }
         has_sent_command_ = true;
         handle_command(session_.arguments());
     }
+    if (session_.capacity() <= resp::ReceiveBuffer::kSmallBytes) command_memory_.release();
 }
 
 // Handles commands that waited in the session because too many were in progress. They are dropped when
@@ -319,18 +356,30 @@
     try {
         const Request request =
             parse_request(arguments, clients_.config_.names, clients_.config_.limits.max_argument_bytes);
+        admission::MemoryReservation memory = reserve_rpc_memory();
+        if (memory.bytes() == 0) return session_.set_reply(slot, clients_.low_memory_reply());
         unanswered_rpcs_.emplace_back(slot, request.id);
         if (admitted_) clients_.connection_limiter_->rpc_started(limiter_entry_);
         clients_.last_rpc_at_ = Clock::now();
-        clients_.handler_.handle_rpc({shared_from_this(), slot},
-                                     std::make_shared<const OwnedRequest>(session_.command_bytes(), request),
-                                     lateness_);
+        const char *const begin = session_.command_bytes().data();
+        clients_.handler_.handle_rpc(
+            {shared_from_this(), slot},
+            std::make_shared<const OwnedRequest>(session_.take_command(), begin, request, std::move(memory)),
+            lateness_);
     } catch (const BadInput &bad) {
         clients_.log_(Level::debug, "invalid command: ", bad.what());
         session_.set_reply(slot, std::string("-ERR ") + bad.what() + "\r\n");
     }
 }
 
+// Returns the reservation for the RPC whose command was read last, which includes the command; of no bytes
+// where there is too little memory.
+admission::MemoryReservation Connection::reserve_rpc_memory() {
+    if (command_memory_.bytes() > 0) return std::move(command_memory_);
+    return clients_.request_memory_->try_reserve(session_.command_bytes().size() +
+                                                 clients_.config_.limits.rpc_overhead_bytes);
+}
+
 // Starts writing the replies that are ready. Only one write is in progress at a time.
 void Connection::write() {
     if (writing_ || closed_) return;
@@ -358,7 +407,7 @@
                           if (self->closed_) return;
                           self->resume_timer_.cancel();
                           self->write();
-                          self->update_buffered_bytes();
+                          self->update_state();
                       });
 }
 
--- a/src/router/clients/connection.hpp
+++ b/src/router/clients/connection.hpp
@@ -30,7 +30,7 @@
     // complete.
     void reject(Ticks retry_after);
     asio::awaitable<void> serve();
-    void answer(std::uint64_t slot, std::string bytes);
+    void answer(std::uint64_t slot, std::string bytes, admission::MemoryReservation memory);
     // Enters the connection's present state in the eviction queue. Has to be called after every change of
     // what the state depends on.
     void update_state();
@@ -53,24 +53,26 @@
     bool is_admitted() const { return admitted_; } // by the connection limiter, which may evict it
     bool has_sent_command() const { return has_sent_command_; }
     Clock::time_point last_activity() const { return last_activity_; }
-    std::size_t buffered_bytes() const { return buffered_bytes_; }
-    bool has_pending_replies() const { return session_.has_pending_replies(); }
+    bool holds_memory() const { return command_memory_.bytes() > 0; } // for a command that is not whole
 
     bool holds_descriptor = false; // from the descriptor budget
 
   private:
-    enum class ReadResult { none, some, closed };
+    enum class ReadResult { none, some, closed, no_memory };
 
     admission::ConnectionState state() const;
     Clock::time_point deadline(admission::ConnectionState state) const; // of the present stay in the state
     bool awaits_command() const; // and no reply is pending
     bool may_read() const;
     ReadResult read_available();
+    bool reserve_command_memory();
+    admission::MemoryReservation reserve_rpc_memory();
+    void push_back_unread_command();
+    asio::awaitable<bool> pause(Milliseconds duration);
     void read_until_command();
     std::string reply_to_arrived_commands(boost::system::error_code &failed);
     void handle_bytes(std::string_view bytes);
     bool read_proxy_header(std::string_view bytes);
-    void update_buffered_bytes();
     void handle_commands();
     void handle_deferred_commands();
     void handle_command(const std::vector<std::string_view> &arguments);
@@ -94,7 +96,9 @@
     admission::EvictionQueue::Entry eviction_entry_;
     std::vector<bool> unwritten_outcomes_; // of answered RPCs whose replies are not all written: served?
     std::string proxy_header_bytes_; // received so far
-    std::size_t buffered_bytes_ = 0; // its part of Clients::total_buffered_bytes_
+    admission::MemoryReservation
+        command_memory_; // for the command that is being received, unless it is small
+    std::optional<Clock::time_point> waits_for_memory_since_;
     Ticks rejected_retry_after_ = 0; // above 0: closed once its first command has been pushed back
     bool writing_ = false;
     bool closed_ = false;
--- a/src/router/clients/request.cpp
+++ b/src/router/clients/request.cpp
@@ -92,9 +92,14 @@
     return config.advise_retry_after ? std::min(retry_after, config.max_retry_after) : 0;
 }
 
-OwnedRequest::OwnedRequest(std::string_view bytes, const Request &parsed) : command(bytes), request(parsed) {
+OwnedRequest::OwnedRequest(std::string_view bytes, const Request &parsed)
+    : OwnedRequest(std::string(bytes), bytes.data(), parsed, {}) {}
+
+OwnedRequest::OwnedRequest(std::string bytes, const char *begin, const Request &parsed,
+                           admission::MemoryReservation reserved)
+    : command(std::move(bytes)), request(parsed), memory(std::move(reserved)) {
     for (std::string_view *view : {&request.id, &request.key, &request.fields, &request.timeout_digits})
-        *view = std::string_view(command).substr(view->data() - bytes.data(), view->size());
+        *view = std::string_view(command).substr(view->data() - begin, view->size());
 }
 
 void encode_with_timeout(const OwnedRequest &source, Ticks timeout, EncodedRequest &encoded) {
--- a/src/router/clients/request.hpp
+++ b/src/router/clients/request.hpp
@@ -1,6 +1,7 @@
 // Parses a client's command in place, and encodes it for a host with the time that remains of its timeout.
 #pragma once
 
+#include "admission/memory_budget.hpp"
 #include "router/config.hpp"
 
 #include <array>
@@ -22,10 +23,15 @@
 
 // A request that owns the bytes of its command. It lives as long as any of them may still be written.
 struct OwnedRequest {
+    // Copies the bytes of the command, into which the views of the request point.
     OwnedRequest(std::string_view bytes, const Request &parsed);
+    // Takes the command over. The views point into a copy of it that begins at `begin`, or into itself.
+    OwnedRequest(std::string bytes, const char *begin, const Request &parsed,
+                 admission::MemoryReservation reserved);
     OwnedRequest(const OwnedRequest &) = delete;
     std::string command;
     Request request; // its views point into `command`
+    admission::MemoryReservation memory; // of the request and of its RPC
 };
 
 // Parses the arguments of a Q.ASK or Q.DO command. Throws BadInput, which names the faulty field. `max_size`
--- a/src/router/clients/session.hpp
+++ b/src/router/clients/session.hpp
@@ -2,9 +2,12 @@
 // commands come out; replies are set in any order and come out in the order of their commands.
 #pragma once
 
+#include "admission/memory_budget.hpp"
 #include "base/limits.hpp"
+#include "net/resp/receive_buffer.hpp"
 #include "net/resp/resp.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -14,9 +17,17 @@
 
 class Session {
   public:
-    explicit Session(const Limits &limits) : limits_(limits) {}
+    explicit Session(const Limits &limits);
 
+    // Adds received bytes, of which there are at most `space()`.
     void feed(std::string_view bytes) { unread_.append(bytes); }
+    // Returns how many bytes can be fed.
+    std::size_t space() const { return unread_.space(); }
+    // Returns the size of buffer that the command being received needs; 0 where the buffer suffices.
+    std::size_t wanted_capacity() const { return wanted_bytes_ > unread_.capacity() ? wanted_bytes_ : 0; }
+    void grow(std::size_t capacity) { unread_.grow(capacity); }
+    std::size_t capacity() const { return unread_.capacity(); }
+    void discard_input(); // drops what has been received of a command
 
     // Reads the next whole command. Returns `none` while it is incomplete or while too many replies are
     // pending (see accepts_input). The views returned by arguments() and command_bytes() are valid until the
@@ -24,15 +35,22 @@
     enum class Next { none, command, malformed };
     Next next();
     const std::vector<std::string_view> &arguments() const { return arguments_; }
-    std::string_view command_bytes() const { return std::string_view(unread_).substr(0, command_size_); }
+    std::string_view command_bytes() const { return unread_.view().substr(0, command_size_); }
+    // Returns the bytes of the command that was read last, as a string of their own. Where nothing follows
+    // them they are moved out of the buffer, else copied: the views into them stay valid in the first case
+    // and as long as the buffer is not changed in the second.
+    std::string take_command();
+    // Returns why the last input was malformed, in words for its client.
+    const std::string &error() const { return error_; }
 
     // Reserves the reply slot of the command that was just read and returns the slot's number.
     std::uint64_t add_reply_slot() {
         slots_.emplace_back();
         return first_slot_ + slots_.size() - 1;
     }
-    // Sets the reply of a slot. Any further reply to the same slot is ignored.
-    void set_reply(std::uint64_t slot, std::string bytes);
+    // Sets the reply of a slot, with the reservation of its memory. Any further reply to the same slot is
+    // ignored.
+    void set_reply(std::uint64_t slot, std::string bytes, admission::MemoryReservation memory = {});
     // Returns the replies that can be written now. The views are valid until replies_written() is called,
     // which must happen only after all of them have been written.
     std::vector<std::string_view> ready_replies();
@@ -44,17 +62,23 @@
     bool accepts_input() const {
         return slots_.size() < limits_.max_pipelined && unsent_bytes_ < limits_.max_unsent_bytes;
     }
-    std::size_t buffered_bytes() const { return unread_.capacity() + unsent_bytes_; }
+    std::size_t unsent_bytes() const { return unsent_bytes_; }
     bool has_partial_command() const { return unread_.size() > command_size_; }
 
   private:
+    static constexpr std::size_t kMaxArguments = 16; // of a command
     struct Slot {
         bool answered = false;
         std::string bytes{};
+        admission::MemoryReservation memory{};
     };
+    Next reject_input(resp::ScanResult result);
 
     const Limits &limits_;
-    std::string unread_; // starts with the command that next() returned last
+    const std::array<std::size_t, kMaxArguments> max_argument_bytes_;
+    resp::ReceiveBuffer unread_; // starts with the command that next() returned last
+    std::size_t wanted_bytes_ = 0; // the incomplete command in `unread_` has at least this many
+    std::string error_;
     std::size_t command_size_ = 0; // bytes of that command
     std::vector<std::string_view> arguments_;
     resp::Value value_;
--- a/src/router/config.cpp
+++ b/src/router/config.cpp
@@ -1,6 +1,7 @@
 #include "router/config.hpp"
 
 #include "admission/rpc_limiter.hpp"
+#include "net/resp/receive_buffer.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -14,6 +15,10 @@
 // their PROXY header, and drains.
 constexpr std::size_t kReservedDescriptors = 48;
 constexpr std::size_t kMinDescriptors = 128;
+constexpr std::size_t kMinPoolBytes = 512 * 1024;
+// A list takes several times its size while it is parsed, so that it may have one in so many bytes of the
+// memory.
+constexpr std::size_t kListMemoryPart = 16;
 // Connections that all routers together open to a host before the first client connects.
 constexpr std::size_t kWarmConnectionsOfFleet = 36;
 // After SIGTERM the platform does not kill the process before the longest client deadline, at most
@@ -60,6 +65,17 @@
     return static_cast<std::size_t>(read);
 }
 
+// Three eighths of the memory are for the buffers of clients and hosts. Each connection may hold a small one;
+// the rest is divided into two equal pools, for commands and for answers.
+void divide_memory(Limits &limits) {
+    const std::size_t connections = limits.client_connections + limits.host_connections;
+    const std::size_t small_buffers = connections * resp::ReceiveBuffer::kSmallBytes;
+    const std::size_t buffers = limits.memory_bytes * 3 / 8;
+    const std::size_t pools = buffers > small_buffers ? buffers - small_buffers : 0;
+    limits.request_memory_bytes = limits.answer_memory_bytes = std::max(kMinPoolBytes, pools / 2);
+    limits.max_list_body_bytes = std::min(limits.max_list_body_bytes, limits.memory_bytes / kListMemoryPart);
+}
+
 Limits read_limits(const json &resources, const json &settings) {
     Limits limits{};
     limits.descriptors = read_count(resources, "sockets", kMinDescriptors);
@@ -86,6 +102,7 @@
     // Idle clients are closed above a quarter of the descriptors, below the third that active clients have,
     // so that some descriptors remain for new connections.
     limits.idle_eviction_threshold = limits.descriptors / 4;
+    divide_memory(limits);
     return limits;
 }
 
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -30,8 +30,10 @@
 
 Driver::Driver(boost::asio::io_context &io, const RouterConfig &config, const Log &log)
     : io_(io), config_(config), log_(log), module_(make_module()),
-      descriptor_budget_(make_descriptor_budget(config.limits)), hosts_(io, config, log, descriptor_budget_),
-      clients_(io, config, log, descriptor_budget_, *this),
+      descriptor_budget_(make_descriptor_budget(config.limits)),
+      answer_memory_(clients::make_memory_budget(config.limits.answer_memory_bytes, config.limits)),
+      hosts_(io, config, log, descriptor_budget_, answer_memory_),
+      clients_(io, config, log, descriptor_budget_, answer_memory_, *this),
       discovery_watch_(
           io, config, log, [this](const membership::Listing &listing) { handle_host_list(listing); },
           [this](Milliseconds remaining) {
@@ -318,11 +320,11 @@
     erase_if_done(id);
 }
 
-void Driver::answer(Rpc &rpc, std::string bytes) {
+void Driver::answer(Rpc &rpc, std::string bytes, admission::MemoryReservation memory) {
     if (std::exchange(rpc.finished, true)) return;
     release_admission(rpc, bytes[0] == '*' || bytes[0] == '$');
     withdraw_unsent_picks(rpc);
-    clients::Clients::answer(rpc.reply, std::move(bytes));
+    clients::Clients::answer(rpc.reply, std::move(bytes), std::move(memory));
     rpc.reply.connection.reset();
 }
 
@@ -341,7 +343,7 @@
         hosts_.send(decision.host, rpc.request, decision.duration, send_deadline(rpc),
                     [this, id = decision.rpc, pick, host = decision.host,
                      build = hosts_.build_of(decision.host), sent_at = now_](hosts::PickResult result) {
-                        handle_pick_end(id, pick, host, build, sent_at, result);
+                        handle_pick_end(id, pick, host, build, sent_at, std::move(result));
                     }));
     if (rpc.first_sent_at < 0) rpc.first_sent_at = now_;
 }
@@ -360,7 +362,7 @@
 }
 
 void Driver::handle_pick_end(const std::string &id, int pick, const std::string &host, int build,
-                             Ticks sent_at, const hosts::PickResult &result) {
+                             Ticks sent_at, hosts::PickResult result) {
     Router &module = begin_turn();
     Rpc &rpc = rpcs_.at(id);
     rpc.picks.at(pick).reset();
@@ -373,7 +375,7 @@
     const bool key_may_be_answered = !proves_no_answer(result.outcome) && !rpc.request->request.key.empty();
     if (key_may_be_answered && config_.deployment.rollout.sticky_keys)
         hosts_.withdraw_key(rpc.request->request.key, build);
-    if (result.outcome == Outcome::ok) answer(rpc, result.value);
+    if (result.outcome == Outcome::ok) answer(rpc, std::move(result.value), std::move(result.memory));
     module.pick_ended(id, pick, result.outcome, now_ - sent_at, rpc.finished, result.report);
     log_(Level::debug, "ended ", id, " pick ", pick, " at ", host, " outcome ",
          static_cast<int>(result.outcome), " after ", (now_ - sent_at) / 10, " ms");
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -65,12 +65,12 @@
     void execute(const Decision &decision);
     void send_pick(const Decision &decision);
     void handle_pick_end(const std::string &id, int pick, const std::string &host, int build, Ticks sent_at,
-                         const hosts::PickResult &result);
+                         hosts::PickResult result);
     // Returns the ticks since the Unix epoch, as start times of hosts are given. Never goes back: it follows
     // the steady clock from the start of the process.
     Ticks current_time() const;
     Ticks to_ticks(Instant at) const; // on the same clock
-    void answer(Rpc &rpc, std::string bytes);
+    void answer(Rpc &rpc, std::string bytes, admission::MemoryReservation memory = {});
     void withdraw_unsent_picks(const Rpc &rpc);
     void answer_open_rpcs(); // at the shutdown deadline
     // Returns the time after which a further pick of the RPC must not be sent; none: no limit.
@@ -103,6 +103,7 @@
     std::optional<release::Controller> release_controller_; // none: no releases by cell
     std::unordered_map<std::string, Rpc> rpcs_;
     admission::DescriptorBudget descriptor_budget_; // shared by clients and hosts
+    const std::shared_ptr<admission::MemoryBudget> answer_memory_; // shared by clients and hosts
     hosts::Hosts hosts_;
     std::optional<admission::RpcLimiter> rpc_limiter_; // none: no admission rules
     std::shared_ptr<const AdmissionSettings> admission_rules_;
--- a/src/router/hosts/answer_parser.cpp
+++ b/src/router/hosts/answer_parser.cpp
@@ -6,6 +6,13 @@
 
 namespace pineridge::router::hosts {
 
+namespace {
+
+// Room for the load report behind a long value, so that the buffer need not grow for it as a rule.
+constexpr std::size_t kReportBytes = 512;
+
+} // namespace
+
 // The decision module reads the values by index, so a report with a missing or invalid field is dropped as a
 // whole.
 std::vector<double> read_report(std::string_view text, const std::vector<std::string> &fields) {
@@ -33,15 +40,30 @@
     const resp::Bounds bounds{limits_.max_value_bytes, limits_.max_arguments, limits_.max_nesting,
                               limits_.max_resp_line_bytes};
     resp::Value answer;
-    const resp::ScanResult scanned = resp::scan(received_, bounds, answer);
-    if (scanned == resp::ScanResult::incomplete) return std::nullopt;
-    if (scanned == resp::ScanResult::malformed) return PickResult{Outcome::error};
+    const resp::ScanResult scanned = resp::scan(received_.view(), bounds, answer);
+    if (scanned == resp::ScanResult::incomplete) {
+        wanted_bytes_ = answer.min_size > resp::ReceiveBuffer::kSmallBytes ? answer.min_size + kReportBytes
+                                                                           : answer.min_size;
+        return std::nullopt;
+    }
+    if (scanned != resp::ScanResult::complete) return PickResult{Outcome::error};
+    const bool nothing_follows = answer.raw.size() == received_.size();
     PickResult result = read(answer);
-    result.reusable = result.reusable && answer.raw.size() == received_.size();
+    result.reusable = result.reusable && nothing_follows;
     return result;
 }
 
-PickResult AnswerParser::read(const resp::Value &answer) const {
+// Returns the raw bytes of a value, in the memory of the buffer, which is empty afterwards.
+std::string AnswerParser::take_value(const resp::Value &value) {
+    const std::size_t begin = static_cast<std::size_t>(value.raw.data() - received_.view().data());
+    const std::size_t size = value.raw.size();
+    std::string bytes = received_.take();
+    bytes.resize(begin + size);
+    bytes.erase(0, begin);
+    return bytes;
+}
+
+PickResult AnswerParser::read(const resp::Value &answer) {
     PickResult result{Outcome::error};
     if (answer.kind == resp::Kind::error) {
         const std::string_view line = answer.body;
@@ -64,9 +86,9 @@
         !(has_report || report.kind == resp::Kind::null))
         return result;
     result.outcome = Outcome::ok;
-    result.value = value.raw;
     result.reusable = true;
     if (has_report) result.report = read_report(report.body, fields_);
+    result.value = take_value(value);
     return result;
 }
 
--- a/src/router/hosts/hosts.cpp
+++ b/src/router/hosts/hosts.cpp
@@ -12,6 +12,16 @@
 using asio::use_awaitable;
 using Socket = asio::ip::tcp::socket;
 
+// Removes bytes from the front of a sequence of buffers.
+template <std::size_t kCount>
+void drop_front(std::array<asio::const_buffer, kCount> &buffers, std::size_t size) {
+    for (asio::const_buffer &buffer : buffers) {
+        const std::size_t dropped = std::min(size, buffer.size());
+        buffer += dropped;
+        size -= dropped;
+    }
+}
+
 } // namespace
 
 // One pick from its decision to its end: it waits for a connection, sends the command and reads the answer.
@@ -148,14 +158,12 @@
         boost::system::error_code failed;
         socket_->non_blocking(true, failed);
         std::size_t written = socket_->write_some(buffers, failed);
-        std::string rest; // the command, if the kernel did not accept all of it
-        if (written < total && (!failed || failed == asio::error::would_block)) {
-            for (const std::string_view part : command.parts) rest += part;
-        }
+        std::size_t dropped = 0; // bytes of `buffers` that have been written and removed from it
         while (written < total && (!failed || failed == asio::error::would_block)) {
             std::tie(failed) = co_await socket_->async_wait(Socket::wait_write, as_tuple(use_awaitable));
             if (failed || cancelled_ || (send_deadline_ && Clock::now() >= *send_deadline_)) break;
-            written += socket_->write_some(asio::buffer(rest) + written, failed);
+            drop_front(buffers, written - std::exchange(dropped, written));
+            written += socket_->write_some(buffers, failed);
         }
         sent_ = written == total;
         if (sent_) owner_.unsent_.erase(this);
@@ -166,16 +174,41 @@
     asio::awaitable<PickResult> read() {
         AnswerParser parser(owner_.config_.limits, owner_.config_.names.report_fields);
         std::vector<char> buffer(owner_.config_.limits.first_read_bytes);
+        admission::MemoryReservation memory;
         for (;;) {
-            const auto [failed, size] =
-                co_await socket_->async_read_some(asio::buffer(buffer), as_tuple(use_awaitable));
+            if (const std::size_t wanted = parser.wanted_capacity();
+                wanted > resp::ReceiveBuffer::kSmallBytes) {
+                memory = co_await reserve_answer_memory(wanted);
+                if (memory.bytes() == 0)
+                    co_return PickResult{deadline_timer_.expired() ? Outcome::timed_out
+                                                                   : Outcome::connection_lost};
+                parser.grow(wanted);
+            }
+            const auto [failed, size] = co_await socket_->async_read_some(
+                asio::buffer(buffer.data(), std::min(buffer.size(), parser.space())),
+                as_tuple(use_awaitable));
             if (!cancelled_ && !deadline_timer_.expired())
                 record_reuse_outcome(failed && !parser.has_input());
             if (failed)
                 co_return PickResult{deadline_timer_.expired() ? Outcome::timed_out
                                                                : Outcome::connection_lost};
-            if (auto result = parser.feed({buffer.data(), size})) co_return std::move(*result);
+            if (auto result = parser.feed({buffer.data(), size})) {
+                result->memory = std::move(memory);
+                co_return std::move(*result);
+            }
+        }
+    }
+
+    // Waits until the memory can be reserved; meanwhile the answer stays in the kernel. Returns no
+    // reservation if the pick ends before.
+    asio::awaitable<admission::MemoryReservation> reserve_answer_memory(std::size_t bytes) {
+        while (!cancelled_ && !deadline_timer_.expired()) {
+            admission::MemoryReservation memory = owner_.answer_memory_->try_reserve(bytes);
+            if (memory.bytes() > 0) co_return memory;
+            wait_timer_.expires_after(owner_.config_.limits.low_memory_pause);
+            co_await wait_timer_.async_wait(as_tuple(use_awaitable));
         }
+        co_return admission::MemoryReservation();
     }
 
     void record_reuse_outcome(bool broken) {
@@ -204,9 +237,10 @@
 };
 
 Hosts::Hosts(asio::io_context &io, const RouterConfig &config, const Log &log,
-             admission::DescriptorBudget &descriptor_budget)
+             admission::DescriptorBudget &descriptor_budget,
+             std::shared_ptr<admission::MemoryBudget> answer_memory)
     : io_(io), config_(config), log_(log), descriptor_budget_(descriptor_budget),
-      reuse_policy_(config.limits) {}
+      answer_memory_(std::move(answer_memory)), reuse_policy_(config.limits) {}
 
 void Hosts::update(const std::string &id, const Address &address, bool ready, Ticks started, int build) {
     HostState &host = hosts_[id];
--- a/src/router/hosts/hosts.hpp
+++ b/src/router/hosts/hosts.hpp
@@ -27,8 +27,10 @@
 class Hosts {
   public:
     // The connections' descriptors are taken from the budget, which must outlive this object.
+    // Answers that are not small are read only into memory that has been reserved for them.
     Hosts(asio::io_context &io, const RouterConfig &config, const Log &log,
-          admission::DescriptorBudget &descriptor_budget);
+          admission::DescriptorBudget &descriptor_budget,
+          std::shared_ptr<admission::MemoryBudget> answer_memory);
 
     // Adds a host or updates its entry. A change of the address, `started` or `build` means that another
     // process has replaced the former one.
@@ -107,6 +109,7 @@
     const RouterConfig &config_;
     const Log &log_;
     admission::DescriptorBudget &descriptor_budget_;
+    const std::shared_ptr<admission::MemoryBudget> answer_memory_;
     std::unordered_map<std::string, HostState> hosts_;
     std::unordered_set<Pick *> unsent_; // picks whose command has not been written in full
     // If keys are sticky: number of picks that have been sent and have not ended, by key and build.
--- a/standins/flood/flood.cpp
+++ b/standins/flood/flood.cpp
@@ -83,8 +83,8 @@
         state->plan.preamble +
         (behavior == Behavior::stall_after_first_byte || behavior == Behavior::send_slowly ? "*" : rpc);
     if (behavior == Behavior::send_huge_command)
-        first = "*5\r\n$5\r\nQ.ASK\r\n$65536\r\n" + std::string(65536, 'k') + "\r\n$65536\r\n" +
-                std::string(65536, 'i') + "\r\n$65536\r\n" + std::string(24000, 'n');
+        first = "*5\r\n$4\r\nQ.DO\r\n$3\r\nkey\r\n$3\r\nbad\r\n$23\r\nc=do-book,t=acme,d=3000\r\n$65536\r\n" +
+                std::string(65000, 'n');
     boost::system::error_code failed;
     std::size_t size = 0;
     std::tie(failed, size) =
--- a/standins/host/host.cpp
+++ b/standins/host/host.cpp
@@ -64,7 +64,8 @@
         if (field.substr(0, 2) == "c=") pick.method = field.substr(2);
         if (field.substr(0, 2) == "t=") pick.customer = field.substr(2);
     }
-    const std::string value = pick.rpc + "@" + std::to_string(build);
+    std::string value = pick.rpc + "@" + std::to_string(build);
+    if (value.size() < value_bytes) value.resize(value_bytes, '.');
     picks_.push_back(std::move(pick));
     if (answers_++ % 100 * 37 % 100 < failure_percent) return "-ERR failed\r\n";
     return "*3\r\n$" + std::to_string(value.size()) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
--- a/standins/host/host.hpp
+++ b/standins/host/host.hpp
@@ -38,6 +38,7 @@
     std::string state = "in_service";
     std::int64_t started_ms = 0;
     std::chrono::milliseconds answer_delay{2};
+    std::size_t value_bytes = 0; // shorter values are filled up to this size
     int failure_percent = 0; // errors in each hundred answers, evenly spread
 
   private:
--- a/standins/program/program.cpp
+++ b/standins/program/program.cpp
@@ -15,6 +15,22 @@
 
 namespace pineridge::standins {
 
+namespace {
+
+// Returns a size in KB from the status of a process; 0 where there is no such process.
+long status_kb(const std::string &process, const std::string &name) {
+    std::ifstream status("/proc/" + process + "/status");
+    for (std::string field; status >> field;)
+        if (field == name) {
+            long size = 0;
+            status >> size;
+            return size;
+        }
+    return 0;
+}
+
+} // namespace
+
 Program::Program(const std::filesystem::path &folder, const std::string &program,
                  std::vector<std::string> arguments) {
     static int count = 0;
@@ -64,16 +80,9 @@
 
 long Program::memory_kb() const { return resident_kb(std::to_string(pid_)); }
 
-long resident_kb(const std::string &process) {
-    std::ifstream status("/proc/" + process + "/status");
-    for (std::string field; status >> field;)
-        if (field == "VmRSS:") {
-            long size = 0;
-            status >> size;
-            return size;
-        }
-    return 0;
-}
+long Program::anonymous_kb() const { return status_kb(std::to_string(pid_), "RssAnon:"); }
+
+long resident_kb(const std::string &process) { return status_kb(process, "VmRSS:"); }
 
 void run_for(boost::asio::io_context &io, std::chrono::milliseconds duration) {
     const auto end = std::chrono::steady_clock::now() + duration;
--- a/standins/program/program.hpp
+++ b/standins/program/program.hpp
@@ -30,6 +30,7 @@
     std::string output() const;
     double cpu_s() const; // CPU seconds used so far; 0 after its end
     long memory_kb() const; // resident memory; 0 after its end
+    long anonymous_kb() const; // resident memory that no file backs; 0 after its end
 
   private:
     std::filesystem::path output_file_;
--- a/standins/town/town.cpp
+++ b/standins/town/town.cpp
@@ -81,7 +81,7 @@
                 {"listen", listen_address.str()},
                 {"discovery", discovery.address()},
                 {"seed", "51ab"},
-                {"limits", {{"cores", 1}, {"memory_mb", 64}, {"sockets", options.router_descriptors}}},
+                {"limits", {{"cores", 1}, {"memory_mb", options.router_memory_mb}, {"sockets", options.router_descriptors}}},
                 {"deployer", {{"address", platform.address()}, {"news", platform.state()}}},
                 {"known", discovery.full_list()},
                 {"settings",
--- a/standins/town/town.hpp
+++ b/standins/town/town.hpp
@@ -27,6 +27,7 @@
     std::vector<double> caps{1, 1}; // the platform's, by stage
     unsigned short desk_port = 0;
     int router_descriptors = 512; // configured in the router as its descriptor limit
+    int router_memory_mb = 64; // configured in the router as its memory limit
 };
 
 class LocalCluster {
--- a/tests/admission/flood_test.cpp
+++ b/tests/admission/flood_test.cpp
@@ -25,8 +25,8 @@
 <crowd name="desks" reserve="60" weight="3"><network address="127.0.0.1/32"/></crowd>)";
 
 struct Fixture {
-    explicit Fixture(const std::string &rules = kRules, int descriptors = 256)
-        : town(io, plot_with(descriptors)) {
+    explicit Fixture(const std::string &rules = kRules, int descriptors = 256, int memory_mb = 64)
+        : town(io, options_for(descriptors, memory_mb)) {
         for (int i = 0; i < 4; ++i) town.host("h" + std::to_string(i), "north", 1);
         town.write_files();
         write_settings(rules);
@@ -36,10 +36,11 @@
         town.clients.use_client_timeouts(6);
     }
     ~Fixture() { town.stop(); }
-    static standins::ClusterOptions plot_with(int descriptors) {
-        standins::ClusterOptions plot;
-        plot.router_descriptors = descriptors;
-        return plot;
+    static standins::ClusterOptions options_for(int descriptors, int memory_mb) {
+        standins::ClusterOptions options;
+        options.router_descriptors = descriptors;
+        options.router_memory_mb = memory_mb;
+        return options;
     }
     void write_settings(const std::string &rules, const std::string &attributes = "") {
         std::ofstream(town.folder / "settings.xml")
@@ -226,21 +227,23 @@
     flood.stop();
 }
 
-// Incomplete commands fill the quarter of memory that client buffers may use: connections with the largest
-// buffers are closed, none that waits for an answer, and the memory becomes available again.
+// Incomplete commands fill the memory for commands: connections that hold it are closed, none that waits for
+// an answer, and the memory becomes available again.
 void memory_of_client_buffers_is_reclaimed() {
-    Fixture fixture(R"(<others/><crowd name="desks" reserve="20"><network address="127.0.0.1/32"/></crowd>)");
+    Fixture fixture(R"(<others/><crowd name="desks" reserve="20"><network address="127.0.0.1/32"/></crowd>)",
+                    256, 32);
     Flood flood(fixture.io, fixture.town.listen, {Behavior::send_huge_command, 0x7f070001, 100, 1, 100});
     flood.start();
     fixture.until([&] {
         return fixture.router.has_logged("client buffers over the memory limit, connections closed");
     });
     fixture.send_rpcs(60);
-    assert(fixture.served_share() >= 0.95 && flood.results().ended > 0 && flood.results().ended < 100);
+    assert(fixture.served_share() >= 0.95 && flood.results().ended > 0);
+    // Each of them is closed in time, also where there is memory enough for it.
+    fixture.until([&] { return flood.results().ended == 100; });
     flood.stop();
-    const auto closed = flood.results().ended;
     fixture.send_rpcs(60);
-    assert(fixture.served_share() >= 0.95 && flood.results().ended == closed);
+    assert(fixture.served_share() >= 0.95);
 }
 
 // In observe mode every connection is admitted, and the log says what would have been refused.
--- a/tests/client_side.hpp
+++ b/tests/client_side.hpp
@@ -13,10 +13,12 @@
         const std::string id(rpc->request.id);
         received_ids.push_back(id);
         if (on_rpc) on_rpc(id);
-        if (answers_at_once)
+        if (answers_at_once) {
             clients::Clients::answer(target, bulk(id));
-        else
-            unanswered.push_back(target);
+            return;
+        }
+        unanswered.push_back(target);
+        unanswered_requests.push_back(std::move(rpc));
     }
     void handle_client_left(const std::string &) override {}
     void handle_descriptors_exhausted() override {}
@@ -30,6 +32,7 @@
     std::vector<std::string> received_ids;
     bool answers_at_once = true; // else the RPCs are kept in `unanswered`
     std::vector<clients::ReplyTarget> unanswered;
+    std::vector<std::shared_ptr<const clients::OwnedRequest>> unanswered_requests;
 };
 
 inline admission::DescriptorBudget descriptor_budget_for(const Limits &limits) {
@@ -44,7 +47,7 @@
     ClientSide() : config(read_config_file(fixture.config_path, fixture.environment)) {}
 
     void listen() {
-        server.emplace(fixture.io, config, fixture.log, descriptor_budget, handler);
+        server.emplace(fixture.io, config, fixture.log, descriptor_budget, answer_memory, handler);
         server->listen();
     }
     tcp::socket connect() {
@@ -83,6 +86,9 @@
     RouterConfig config;
     ScriptedHandler handler;
     admission::DescriptorBudget descriptor_budget = descriptor_budget_for(config.limits);
+    // Made again with other limits where a test changes them before `listen`.
+    std::shared_ptr<admission::MemoryBudget> answer_memory =
+        clients::make_memory_budget(config.limits.answer_memory_bytes, config.limits);
     std::optional<clients::Clients> server;
     bool has_shut_down = false;
 };
