--- a/src/admission/connection_limiter.hpp
+++ b/src/admission/connection_limiter.hpp
@@ -39,7 +39,8 @@
 
 struct ConnectionDecision {
     RefusalReason reason = RefusalReason::none;
-    // An idle connection that makes room for the new one: the caller closes it, and calls `closed` for it.
+    // An idle connection that makes room for the new one: the caller closes it, and calls `closed` for it. It
+    // may keep one on which a command has arrived meanwhile.
     ClientConnection *evicted = nullptr;
     Ticks retry_after = 0; // of a refused connection, with jitter
     bool admitted() const { return reason == RefusalReason::none; }
