Review: the rig is a file, and a case that is ended or takes too long ends its router

Need: under review/ a folder N is a case, and each script has to end all that it started, whatever ends it.

Change: review/rig-2/rig.hpp becomes review/rig-2.hpp. SIGTERM, SIGINT and a limit of 110 s end a case by an exception, so that the router is killed, the temporary folder removed, and the exit status 2.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -4,7 +4,7 @@
 // and say nothing then. 8 s later build 42 is called back. A change counts as told at the latest 6 s after
 // discovery had it and could be reached, whatever became of the calls; nothing new may go to a host 250 ms
 // later.
-#include "rig.hpp"
+#include "review/rig-2.hpp"
 
 namespace {
 
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -2,7 +2,7 @@
 // configuration with SIGHUP names another address of discovery, which knows no more of a host than whether
 // its process runs and so goes on listing the two. Nothing new may go to a host later than 250 ms after the
 // router was told that it is gone.
-#include "rig.hpp"
+#include "review/rig-2.hpp"
 
 namespace {
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=build/review-2
 mkdir -p "$out"
-flags="-std=c++20 -O1 -Wall -Wextra -Wno-restrict -I. -Isrc -Ireview/rig-2"
+flags="-std=c++20 -O1 -Wall -Wextra -Wno-restrict -I. -Isrc"
 pids=""
 compile() { # source, object
     g++ $flags -c "$1" -o "$2" &
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2.hpp
@@ -131,7 +131,16 @@
 };
 
 struct World {
-    explicit World(const std::string &record_path) : record(record_path) {
+    explicit World(const std::string &record_path)
+        : record(record_path), signals_(io, SIGTERM, SIGINT), limit_(io) {
+        // Thrown out of the loop, so that the router is ended and the folder removed on these ways too.
+        signals_.async_wait([](boost::system::error_code failed, int) {
+            if (!failed) throw CannotRun("ended by a signal");
+        });
+        limit_.expires_after(kLongestRun);
+        limit_.async_wait([](boost::system::error_code failed) {
+            if (!failed) throw CannotRun("it took too long");
+        });
         static int count = 0;
         folder = std::filesystem::temp_directory_path() /
                  ("pineridge-review-" + std::to_string(::getpid()) + "-" + std::to_string(++count));
@@ -166,6 +175,11 @@
         }
         return true;
     }
+
+  private:
+    static constexpr std::chrono::seconds kLongestRun{110};
+    asio::signal_set signals_;
+    asio::steady_timer limit_;
 };
 
 inline Host::Host(World &world, std::string host_id, int host_build)
