Module: after a call back, hosts that a release may have drained wait for a list

Cause: update_retained_build takes the newest earlier build for the one that no release step drains, also where its successor had been released. The list in hand is older than those drains.

Now the state keeps up to which build hosts may have been drained since the list came: by a release, by the stages of a build that replaces hosts one by one, by a call back from the last stage, whose release may have been missed. A list that comes after the step has been undone clears it. Past the lease no such host is used; an RPC without a host is pushed back at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -463,10 +463,13 @@
     // notice. While discovery is presumed to be unavailable, hosts of the retained build stay in use that
     // have no recent failure: hosts of older builds are drained after a release, and those of the trial when
     // it is withdrawn. So an outage of discovery does not end all service. A pick may still go to a host that
-    // was drained for another reason, if discovery is back but too loaded to report it.
+    // was drained for another reason, if discovery is back but too loaded to report it. A build that is
+    // retained because its successor was called back is used only after a list has shown which of its hosts
+    // the release left; until then an RPC for which there is no other host is pushed back at once.
     bool list_allows(const Host &host) const {
         if (list_is_valid()) return true;
-        return discovery_outage() && host.consecutive_failures == 0 && host.entry.build == retained_build;
+        return discovery_outage() && host.consecutive_failures == 0 && host.entry.build == retained_build &&
+               host.entry.build >= replaced_before;
     }
 
     bool eligible(const Rpc &rpc, Host &host, bool trial) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -323,6 +323,8 @@
     Ticks list_lease_until = std::numeric_limits<Ticks>::max();
     Ticks outage_until = std::numeric_limits<Ticks>::min(); // discovery is presumed to be unavailable
     int retained_build = 0; // the build whose hosts no release step so far takes away
+    // Hosts of builds before this one may have been drained by a release step since the list was received.
+    int replaced_before = 0;
 
     bool on_trial(int build) const {
         return has_rollout && (build > rollout_state.build ||
@@ -334,6 +336,18 @@
     }
     bool trial_running() const { return has_rollout && rollout_state.phase == Phase::on_trial; }
     bool watching_release() const { return has_rollout && rollout_state.phase == Phase::released; }
+    // Returns whether the present release step drains hosts of the builds before it: after the release, or
+    // where the new hosts replace the earlier ones one by one.
+    bool replaces_earlier_hosts() const {
+        return watching_release() || (trial_running() && config.rollout.replaces_hosts);
+    }
+    // Returns whether a build that is called back may have been released before. That is known only where its
+    // release was reported, and an update may have been missed.
+    bool may_have_been_released() const {
+        return is_rolling_back(rollout_state.build) &&
+               (config.rollout.replaces_hosts ||
+                rollout_state.stage + 1 >= static_cast<int>(config.rollout.stage_shares.size()));
+    }
     bool usable(const Host &host) const {
         return host.listed && host.entry.status == HostStatus::ready &&
                withdrawn_builds.count(host.entry.build) == 0;
@@ -395,6 +409,8 @@
                   [&](int a, int b) { return hosts[a].rank < hosts[b].rank; });
         failed_list_requests = 0;
         pools_outdated = true;
+        // Once the release step has been undone, the hosts that the list shows as ready stay.
+        if (!replaces_earlier_hosts()) replaced_before = 0;
     }
 
     void set_host_list_lease(Ticks until, Ticks outage) override {
@@ -522,7 +538,9 @@
         if (update.answers_vote) vote_counted = update.valid;
         if (!update.valid) return;
         const bool other_build = !has_rollout || update.build != rollout_state.build;
-        if (other_build || update.stage != rollout_state.stage || update.phase != rollout_state.phase) {
+        const bool other_step =
+            other_build || update.stage != rollout_state.stage || update.phase != rollout_state.phase;
+        if (other_step) {
             if (trial_running() && update.phase == Phase::released && !other_build) released_at = now;
             if (other_build || (update.phase != rollout_state.phase && update.phase != Phase::released)) {
                 baseline_figures = current_figures;
@@ -543,6 +561,8 @@
         }
         rollout_state = update;
         has_rollout = true;
+        if (other_step && (replaces_earlier_hosts() || may_have_been_released()))
+            replaced_before = std::max(replaced_before, update.build);
         if (other_build) {
             baseline_stats_rate = 0;
             baseline_stats_latency.assign(config.methods.size(), {});
