Receive buffers: give up the block of a command that is dropped or consumed

Cause: libstdc++ keeps the target's block when a string is assigned from one that is short enough to need none. A command that was pushed back for want of memory kept its 64 KiB through the lingering close though its reservation had been released; so did a long command that had been consumed, with at most 15 bytes behind it. Connection::close also released the reservation before the buffer, which its coroutine holds until a later turn.

--- a/src/net/resp/receive_buffer.hpp
+++ b/src/net/resp/receive_buffer.hpp
@@ -36,18 +36,21 @@
         bytes_.erase(0, count);
         if (bytes_.size() <= kFirstBytes && bytes_.capacity() > 2 * kFirstBytes) set_capacity(bytes_.size());
     }
+    // Removes all bytes and returns the memory.
+    void reset() { std::string().swap(bytes_); }
     // Returns all bytes, without copying them, and leaves the buffer empty.
     std::string take() { return std::exchange(bytes_, {}); }
 
   private:
     static constexpr std::size_t kFirstBytes = 512; // most commands and answers are shorter
 
-    // std::string::reserve would round the capacity up to twice the old one.
+    // std::string::reserve would round the capacity up to twice the old one, and an assignment from a string
+    // that is short enough to need no block of its own would keep the old block.
     void set_capacity(std::size_t capacity) {
         std::string moved;
         if (capacity > 0) moved.reserve(capacity);
         moved.append(bytes_);
-        bytes_ = std::move(moved);
+        bytes_.swap(moved);
     }
 
     std::string bytes_;
--- a/src/router/clients/connection.cpp
+++ b/src/router/clients/connection.cpp
@@ -208,6 +208,9 @@
     for (const auto &[slot, id] : std::exchange(unanswered_rpcs_, {}))
         clients_.handler_.handle_client_left(id);
     if (std::exchange(admitted_, false)) clients_.connection_limiter_->closed(limiter_entry_);
+    // The coroutine that serves the connection, and with it this object, ends in a later turn of the event
+    // loop. The buffer must not outlive its reservation until then.
+    session_.discard_input();
     command_memory_.release();
     clients_.eviction_queue_.remove(eviction_entry_);
     clients_.connections_.erase(shared_from_this());
@@ -318,7 +321,7 @@
     if (header.client && clients_.connection_limiter_)
         rejected_retry_after_ = request_admission(*header.client);
     session_.feed(std::string_view(proxy_header_bytes_).substr(header.size));
-    proxy_header_bytes_ = {};
+    std::string().swap(proxy_header_bytes_); // an assignment would keep the memory
     return true;
 }
 
--- a/src/router/clients/session.cpp
+++ b/src/router/clients/session.cpp
@@ -55,7 +55,7 @@
 }
 
 void Session::discard_input() {
-    unread_ = {};
+    unread_.reset();
     command_size_ = wanted_bytes_ = 0;
 }
 
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -89,6 +89,26 @@
     assert(!session.accepts_input() && session.next() == clients::Session::Next::none);
 }
 
+// Guards against the failure of picture (a) of issue 58: a buffer of 64 KiB whose reservation had been
+// released was kept, as an assignment from a short string leaves the block of the string that is assigned to.
+void a_long_command_returns_its_memory() {
+    constexpr std::size_t kLongCommand = 66000;
+    clients::Session dropped(kLimits);
+    dropped.feed("*1\r\n$1\r\n");
+    dropped.grow(kLongCommand);
+    assert(dropped.capacity() >= kLongCommand);
+    dropped.discard_input();
+    assert(dropped.capacity() <= resp::ReceiveBuffer::kSmallBytes);
+    // Bytes may follow a long command that has been consumed: none, few or many.
+    for (const std::size_t left : {0, 1, 15, 16, 400}) {
+        resp::ReceiveBuffer buffer;
+        buffer.grow(kLongCommand);
+        buffer.append(std::string(kLongCommand, 'x'));
+        buffer.consume(kLongCommand - left);
+        assert(buffer.size() == left && buffer.capacity() <= resp::ReceiveBuffer::kSmallBytes);
+    }
+}
+
 std::string parse_host_answer(const std::vector<std::string> &parts) {
     hosts::AnswerParser parser(kLimits, kFields);
     for (std::size_t i = 0; i < parts.size(); ++i)
@@ -189,6 +209,7 @@
     malformed_commands_are_rejected();
     replies_keep_the_order_of_commands();
     input_is_paused_at_the_pipeline_limit();
+    a_long_command_returns_its_memory();
     host_answers_parse_however_split();
     invalid_load_reports_are_ignored();
     http_responses_parse_however_split();
