Clients: drop unread RPCs of a client that has closed its connection

Cause: a close is read after all that came before it, and the state of the socket was not asked after a read. RPCs of the first 16 KiB were on their way before the end of the stream was read in a later turn of the event loop.

Now the kernel is asked once before the first RPC of each batch of commands.

Evidence: client_close, unread_commands_of_a_client_that_has_left_are_dropped, fails without the change, after a FIN and after a reset.

--- a/src/router/clients/connection.cpp
+++ b/src/router/clients/connection.cpp
@@ -326,6 +326,7 @@
 }
 
 void Connection::handle_commands() {
+    client_presence_checked_ = false;
     for (Session::Next next = session_.next(); next != Session::Next::none; next = session_.next()) {
         if (next == Session::Next::malformed) {
             discards_input_ = true;
@@ -339,12 +340,17 @@
     if (session_.capacity() <= resp::ReceiveBuffer::kSmallBytes) command_memory_.release();
 }
 
-// Handles commands that waited in the session because too many were in progress. They are dropped when
-// the client has left meanwhile, as nobody would receive the result of their effect.
+// Handles commands that waited in the session because too many were in progress.
 void Connection::handle_deferred_commands() {
-    if (discards_input_ || closed_ || !session_.has_partial_command()) return;
-    if (socket_state(socket_.native_handle()).peer_closed) return handle_disconnect();
-    handle_commands();
+    if (!discards_input_ && !closed_ && session_.has_partial_command()) handle_commands();
+}
+
+// Returns whether the client has closed its side, as the kernel knew it when the present commands were read.
+// What a client sent before can lie unread behind a pause or a stall of this process, and its close is read
+// only after all of that.
+bool Connection::client_has_left() {
+    return !std::exchange(client_presence_checked_, true) &&
+           socket_state(socket_.native_handle()).peer_closed;
 }
 
 void Connection::handle_command(const std::vector<std::string_view> &arguments) {
@@ -356,6 +362,8 @@
     if (arguments[0] == "PING") return session_.set_reply(slot, "+PONG\r\n");
     if (arguments[0] != "Q.ASK" && arguments[0] != "Q.DO")
         return session_.set_reply(slot, "-ERR unknown command\r\n");
+    // Nobody would receive the result of the RPC's effect, nor of those that follow.
+    if (client_has_left()) return handle_disconnect();
     try {
         const Request request =
             parse_request(arguments, clients_.config_.names, clients_.config_.limits.max_argument_bytes);
--- a/src/router/clients/connection.hpp
+++ b/src/router/clients/connection.hpp
@@ -75,6 +75,7 @@
     bool read_proxy_header(std::string_view bytes);
     void handle_commands();
     void handle_deferred_commands();
+    bool client_has_left();
     void handle_command(const std::vector<std::string_view> &arguments);
     void write();
     void start_lingering_close();
@@ -100,6 +101,7 @@
         command_memory_; // for the command that is being received, unless it is small
     std::optional<Clock::time_point> waits_for_memory_since_;
     Ticks rejected_retry_after_ = 0; // above 0: closed once its first command has been pushed back
+    bool client_presence_checked_ = false; // for the commands that are being handled
     bool writing_ = false;
     bool closed_ = false;
     bool discards_input_ = false; // after malformed input or a rejection
--- a/tests/client_close_test.cpp
+++ b/tests/client_close_test.cpp
@@ -120,6 +120,30 @@
     assert(!client_side.handler.has_received("id-two"));
 }
 
+// Guards against picture (c) of issue 58: a client sends more than one read takes and closes, while the
+// router stands still. None of its commands is passed to the handler, though all can still be read.
+void unread_commands_of_a_client_that_has_left_are_dropped() {
+    for (const bool with_reset : {false, true}) {
+        ClientSide client_side;
+        client_side.handler.answers_at_once = false;
+        client_side.listen();
+        tcp::socket client = client_side.connect();
+        asio::write(client, asio::buffer(std::string("*1\r\n$4\r\nPING\r\n")));
+        assert(client_side.read_replies(client, 7) == "+PONG\r\n");
+        std::string commands;
+        for (int i = 0; i < 20; ++i)
+            commands += std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk("id-" + std::to_string(i)) +
+                        bulk("c=order,d=5000") + bulk(std::string(2000, 'x'));
+        client.non_blocking(false);
+        asio::write(client, asio::buffer(commands));
+        if (with_reset) client.set_option(asio::socket_base::linger(true, 0));
+        client.close();
+        client_side.fixture.run_until([&] { return client_side.server->open_connections() == 0; });
+        for (int turn = 0; turn < 10; ++turn) client_side.fixture.io.poll();
+        assert(client_side.handler.received_ids.empty());
+    }
+}
+
 std::shared_ptr<const AdmissionSettings> one_connection_per_address() {
     auto rules = std::make_shared<AdmissionSettings>();
     rules->crowds.front().max_per_address = 1;
@@ -165,6 +189,7 @@
     a_client_accepted_without_free_descriptors_is_answered();
     a_command_completed_before_the_stall_check_is_answered();
     commands_of_a_closed_connection_are_dropped();
+    unread_commands_of_a_client_that_has_left_are_dropped();
     each_command_of_a_refused_connection_is_answered();
     a_silent_refused_connection_does_not_block_others();
 }
