Driver: an id that may have been executed is not sent to a host again

Cause: an id was known only while its RPC was, and that ends with its last pick, which a cancel ends at once. The host may have run the command all the same.

Now the ids of RPCs that are not idempotent and may have been executed are kept for 60 s, bounded by the memory limit, and answered with an error: another attempt could repeat the effect, and a pushback would deny it.

Evidence: repeated_id fails at its first case with the check taken out.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -38,6 +38,9 @@
     std::size_t answer_memory_bytes;
     // This part of each of the two is kept for small commands and answers.
     double small_memory_share = 0.25;
+    // So many ids of RPCs that may have been executed are remembered, each for this time at most.
+    std::size_t max_executed_ids;
+    Milliseconds executed_id_lifetime{60000};
     // What an open RPC counts for beside its command: its state, its picks and a small answer.
     std::size_t rpc_overhead_bytes = 6 * 1024;
 
--- a/src/router/config.cpp
+++ b/src/router/config.cpp
@@ -19,6 +19,8 @@
 // A list takes several times its size while it is parsed, so that it may have one in so many bytes of the
 // memory.
 constexpr std::size_t kListMemoryPart = 16;
+// One id that may have been executed is remembered for so many bytes of the memory; it takes some 40 of them.
+constexpr std::size_t kMemoryPerExecutedId = 4096;
 // Connections that all routers together open to a host before the first client connects.
 constexpr std::size_t kWarmConnectionsOfFleet = 36;
 // After SIGTERM the platform does not kill the process before the longest client deadline, at most
@@ -73,6 +75,7 @@
     const std::size_t buffers = limits.memory_bytes * 3 / 8;
     const std::size_t pools = buffers > small_buffers ? buffers - small_buffers : 0;
     limits.request_memory_bytes = limits.answer_memory_bytes = std::max(kMinPoolBytes, pools / 2);
+    limits.max_executed_ids = limits.memory_bytes / kMemoryPerExecutedId;
     limits.max_list_body_bytes = std::min(limits.max_list_body_bytes, limits.memory_bytes / kListMemoryPart);
 }
 
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -30,6 +30,7 @@
 
 Driver::Driver(boost::asio::io_context &io, const RouterConfig &config, const Log &log)
     : io_(io), config_(config), log_(log), module_(make_module()),
+      executed_ids_(config.seed, config.limits.max_executed_ids, config.limits.executed_id_lifetime),
       descriptor_budget_(make_descriptor_budget(config.limits)),
       answer_memory_(clients::make_memory_budget(config.limits.answer_memory_bytes, config.limits)),
       hosts_(io, config, log, descriptor_budget_, answer_memory_),
@@ -181,9 +182,7 @@
             rpc.none_executed && std::none_of(rpc.picks.begin(), rpc.picks.end(), [](const auto &pick) {
                 return pick && hosts::Hosts::was_sent(pick);
             });
-        const bool may_retry =
-            no_pick_executed || config_.deployment.methods.at(rpc.request->request.method).repeat_policy ==
-                                    RepeatPolicy::idempotent;
+        const bool may_retry = no_pick_executed || is_idempotent(rpc);
         answer(rpc, may_retry ? clients::busy_reply(0) : "-ERR aborted\r\n");
         begin_turn().rpc_finished(id, -1);
         erase_if_done(id);
@@ -267,6 +266,9 @@
                         Milliseconds age) {
     const clients::Request &asked = request->request;
     const std::string id(asked.id);
+    // Neither served, as its effect could come twice, nor pushed back, which would promise that it had none.
+    if (!config_.names.idempotent.at(asked.method) && executed_ids_.contains(id, Instant::clock::now()))
+        return clients::Clients::answer(reply, "-ERR this id may have been executed\r\n");
     const auto [at, inserted] = rpcs_.try_emplace(id, Rpc{reply, request});
     if (!inserted) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
     if (rpc_limiter_ && !admit(at->second, id, age)) return;
@@ -382,9 +384,15 @@
     erase_if_done(id);
 }
 
+bool Driver::is_idempotent(const Rpc &rpc) const {
+    return config_.names.idempotent.at(rpc.request->request.method);
+}
+
 void Driver::erase_if_done(const std::string &id) {
     const auto at = rpcs_.find(id);
-    if (at != rpcs_.end() && at->second.finished && at->second.open_picks == 0) rpcs_.erase(at);
+    if (at == rpcs_.end() || !at->second.finished || at->second.open_picks > 0) return;
+    if (!is_idempotent(at->second) && !at->second.none_executed) executed_ids_.add(id, Instant::clock::now());
+    rpcs_.erase(at);
 }
 
 void Driver::handle_descriptors_exhausted() { hosts_.shrink_idle(0); }
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -10,6 +10,7 @@
 #include "rehearsal/rehearsal.hpp"
 #include "release/controller.hpp"
 #include "router/clients/clients.hpp"
+#include "router/executed_ids.hpp"
 #include "router/hosts/hosts.hpp"
 #include "router/list/watch.hpp"
 #include "router/rollout/stream_client.hpp"
@@ -79,6 +80,7 @@
     void push_back(Rpc &rpc, const std::string &id, Ticks retry_after); // without passing it to the module
     void release_admission(Rpc &rpc, bool served); // tells the RPC limiter that the RPC has ended
     void erase_if_done(const std::string &id);
+    bool is_idempotent(const Rpc &rpc) const;
     void handle_host_list(const membership::Listing &listing);
     void set_list_lease(Instant until, Instant outage_until); // the lease of the host list
     void start_registry();
@@ -102,6 +104,7 @@
     std::optional<membership::Registration> registration_; // of this router in the registry
     std::optional<release::Controller> release_controller_; // none: no releases by cell
     std::unordered_map<std::string, Rpc> rpcs_;
+    ExecutedIds executed_ids_; // of RPCs that are not idempotent and are no longer in rpcs_
     admission::DescriptorBudget descriptor_budget_; // shared by clients and hosts
     const std::shared_ptr<admission::MemoryBudget> answer_memory_; // shared by clients and hosts
     hosts::Hosts hosts_;
