Module: forget arrivals outside the exposure window without a trial too

Cause: recent_arrivals holds the time of each arrival and was pruned only in exposure(), which runs for picks at a build on trial.

Now the periodic update prunes it as well.

Evidence: bounded_state, arrivals_are_forgotten_while_no_build_is_on_trial, fails on the code before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -226,6 +226,7 @@
         pools_outdated = true;
         count_traffic(kTrafficSmoothing, kRetriedShare);
         expire_evidence(now - kEvidenceLifetime, kMinReleasePicks);
+        expire_arrivals();
         expire_cell_events();
         while (cell_shares.size() > kMaxBuildsWithShares) cell_shares.erase(cell_shares.begin());
         measure_fleet(kColdHostAge);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -931,10 +931,10 @@
     // Returns the arrivals, and the picks at the build, that count for the exposure cap.
     std::pair<double, double> exposure(int number, int method) {
         double arrivals = 0, sent = 0;
+        expire_arrivals();
         for (std::size_t i = 0; i < recent_arrivals.size(); ++i) {
             if (config.rollout.cap_by_method && static_cast<int>(i) != method) continue;
             std::deque<Ticks> &picks = build_state(number).recent_picks[i];
-            drop_before(recent_arrivals[i], now - config.rollout.exposure_window + 1);
             drop_before(picks, now - config.rollout.exposure_window - 1);
             arrivals += static_cast<double>(recent_arrivals[i].size());
             sent += static_cast<double>(picks.size());
@@ -942,6 +942,13 @@
         return {arrivals, sent};
     }
 
+    // Drops the arrivals that no longer count for the exposure cap. They are read only while a build is on
+    // trial, and would otherwise be kept without end while none is.
+    void expire_arrivals() {
+        for (std::deque<Ticks> &arrivals : recent_arrivals)
+            drop_before(arrivals, now - config.rollout.exposure_window + 1);
+    }
+
     // Updates the current figures; the median excess is that of earlier hosts which run for at least
     // `min_age`.
     void measure_fleet(Ticks min_age) {
