Module: hold sticky keys in bounded memory

Now 65,536 keys are held by their hash, and beyond that the parts of the hash space that they are in.

Evidence: bounded_state, ever_new_sticky_keys_take_bounded_memory, fails on the code before (600,000 keys in the module alone).

--- a/src/state.hpp
+++ b/src/state.hpp
@@ -4,6 +4,7 @@
 // excess latency of a pick is its log latency minus the baseline of its method and of its host's kind.
 #pragma once
 
+#include "held_keys.hpp"
 #include "logic.hpp"
 #include "random.hpp"
 #include "trial_summary.hpp"
@@ -121,7 +122,7 @@
     std::vector<double> key_ranges{}; // by method: share of the keys that the build has received so far
     std::vector<int> successes{}; // by method
     std::vector<std::deque<Ticks>> recent_picks{}; // by method: send times within the exposure window
-    std::set<std::string> answered_keys{}; // sticky keys that the build has, or may have, answered
+    HeldKeys answered_keys{}; // sticky keys that the build has, or may have, answered
     std::unordered_map<std::string, int> open_keys{}; // sticky keys of open picks, with their number
     double answers = 0; // passed on to clients
     double flags = 0; // answers that clients flagged as wrong
@@ -781,7 +782,7 @@
     bool held_by_newer(const std::string &key, int number, int cell) const {
         return std::any_of(builds.upper_bound(number), builds.end(), [&](const auto &build) {
             const bool held =
-                build.second.answered_keys.count(key) > 0 || build.second.open_keys.count(key) > 0;
+                build.second.answered_keys.contains(key) || build.second.open_keys.count(key) > 0;
             return held && !is_rolling_back(build.first) && share_in_cell(build.first, cell) > 0;
         });
     }
