SIGHUP: with a registry, a new address of discovery starts no watch

Cause: Driver::set_addresses passed the address to the watch on discovery without asking whether a registry is named, as the two other paths do.

--- a/tests/membership/daemon_test.cpp
+++ b/tests/membership/daemon_test.cpp
@@ -2,12 +2,38 @@
 // when the watch breaks, its revision is compacted, or it misses an update.
 #undef NDEBUG
 #include "standins/checker/membership.hpp"
+#include "standins/http/server.hpp"
 #include "world.hpp"
 
+#include <csignal>
+
 using namespace pineridge;
 using namespace pineridge::test;
 
+namespace {
+
+// Guards against the failure of review/7: SIGHUP with another address of discovery began to ask it beside the
+// registry, and hosts that the registry had taken away came back into use.
+void a_new_configuration_does_not_turn_to_discovery() {
+    RegistryWorld world;
+    const standins::Server discovery(
+        world.io, [](const standins::HttpRequest &, const std::shared_ptr<standins::HttpConnection> &) {});
+    const std::filesystem::path file = world.town.folder / "config.json";
+    json config = json::parse(std::ifstream(file));
+    config["discovery"] = discovery.address();
+    std::ofstream(file) << config.dump();
+    std::raise(SIGHUP);
+    world.until([&] { return world.has_logged("configuration read again"); });
+    const std::int64_t reloaded_at = standins::LocalCluster::now();
+    world.until([&] { return standins::LocalCluster::now() > reloaded_at + 500; });
+    assert(discovery.accepted() == 0);
+    assert(world.picks_at("h0", reloaded_at) > 0);
+}
+
+} // namespace
+
 int main() {
+    a_new_configuration_does_not_turn_to_discovery();
     RegistryWorld world;
     standins::Host &host = world.town.hosts.front();
     const auto no_fault = [] {};
