Read again: the lease derives the presumed end, twins made one; no new behaviour

- Lease: the end of a presumed outage follows from its beginning, the last proof and whether a call was taken since, so that it is no longer kept beside them; begin_outage clears the unclear end. call_abandoned is gone: an attempt to connect is reported only where it was refused, as nothing else counted.
- in_last_stage, which may_have_been_released had written again, is one function in state.hpp.
Driver::is_idempotent serves all three places, and looking an id up no longer copies it. http::Connection has one check of a kept connection.
No assertion, bound or literal changed.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1087,9 +1087,6 @@
         return Verdict::roll_back;
     }
 
-    bool in_last_stage() const {
-        return rollout_state.stage + 1 >= static_cast<int>(config.rollout.stage_shares.size());
-    }
     // Returns how far a single vote decides for all: 0 where all routers must agree.
     double single_vote_weight() const {
         return 1 - std::min(1.0, double(config.rollout.votes_to_advance) / config.instances);
--- a/src/membership/lease.cpp
+++ b/src/membership/lease.cpp
@@ -1,7 +1,6 @@
 #include "membership/lease.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace pineridge::membership {
 
@@ -43,16 +42,16 @@
         silent_watch_expires_at_ = silent_watch_expiry(call);
         return;
     }
-    if (call.max_wait && failure != CallFailure::unreachable) return watch_ended(call, failure, now);
     if (failure == CallFailure::unreachable) return prove_outage(call);
+    if (call.max_wait) return watch_ended(call, failure, now);
     if (failure != CallFailure::connect_failed && now - call.started_at < rules_.queue_full) {
         // A full queue rejected the call, so discovery is up.
         end_outage();
         return;
     }
     if (failure != CallFailure::refused && failure != CallFailure::connection_lost) return;
-    confirm_outage();
     classify_unclear_end(call, now);
+    if (outage_) outage_->may_be_over = true;
 }
 
 // An accepted watch delivered every change up to its end; a queued one delivered none. A connection that
@@ -80,30 +79,20 @@
     const bool was_accepted = wait >= rules_.min_queue_wait && end.open_time > wait + wait / 10;
     if (!was_accepted && end.open_time > wait - wait / 10 && wait >= rules_.min_queue_wait) return;
     if (was_accepted) set_complete_as_of(end.ended_at - rules_.transit);
-    unclear_end_.reset();
     begin_outage(end.ended_at);
-    confirm_outage();
 }
 
 void Lease::begin_outage(Instant at) {
-    outage_ = Outage{.began_at = at, .down_at = at, .until = at + rules_.delivery_time};
+    outage_ = Outage{.began_at = at, .down_at = at};
+    unclear_end_.reset();
 }
 
 // Proofs that are further apart than the shortest outage do not belong to one outage for certain, and none
 // counts once discovery may have returned: a change may have been made in between.
 void Lease::prove_outage(const Call &call) {
-    if (unclear_end_) begin_outage(std::exchange(unclear_end_, std::nullopt)->ended_at);
+    if (unclear_end_) begin_outage(unclear_end_->ended_at);
     if (!outage_ || outage_->may_be_over) return;
-    if (call.started_at - outage_->down_at > rules_.min_outage) return;
-    outage_->down_at = call.started_at;
-    outage_->until = std::max(outage_->until, call.started_at + rules_.delivery_time);
-}
-
-// However many calls fail in this way, they tell no more than the first.
-void Lease::confirm_outage() {
-    if (!outage_) return;
-    outage_->may_be_over = true;
-    outage_->until = std::max(outage_->until, outage_->began_at + rules_.min_outage + rules_.delivery_time);
+    if (call.started_at - outage_->down_at <= rules_.min_outage) outage_->down_at = call.started_at;
 }
 
 void Lease::end_outage() {
@@ -119,7 +108,12 @@
 Instant Lease::outage_until() const {
     const bool has_unread_answer = revoked_at_ != Instant::max() || (call_ && call_->answer_started_at);
     if (!outage_ || !complete_at_ || has_unread_answer) return Instant::min();
-    return outage_->until;
+    // A call that failed as it does while discovery is down confirms that the watch was ended by an outage,
+    // which has a least duration. However many calls fail in this way, they tell no more than the first.
+    const Instant down_until = outage_->may_be_over
+                                   ? std::max(outage_->down_at, outage_->began_at + rules_.min_outage)
+                                   : outage_->down_at;
+    return down_until + rules_.delivery_time;
 }
 
 Instant Lease::expires_at() const {
--- a/src/membership/lease.hpp
+++ b/src/membership/lease.hpp
@@ -59,7 +59,6 @@
     void answer_started(Instant now); // its first byte was read
     void call_succeeded(); // the answer was read in full and the list updated
     void call_failed(CallFailure failure, Instant now);
-    void call_abandoned() { call_.reset(); } // it was connected, and nothing was sent on it
     void address_changed(Instant now); // discovery moved to another address
     // The open watch has not ended. A watch counts as accepted only once this reports it open long enough.
     void watch_still_open(Instant now);
@@ -90,8 +89,7 @@
     struct Outage {
         Instant began_at;
         Instant down_at; // discovery was certainly down then
-        Instant until; // the presumed end
-        bool may_be_over = false; // something has taken a call since
+        bool may_be_over = false; // something has taken a call since, and has not answered it
     };
 
     void set_complete_as_of(Instant at);
@@ -99,7 +97,6 @@
     void classify_unclear_end(const Call &call, Instant now);
     void begin_outage(Instant at);
     void prove_outage(const Call &call); // nobody listened when the call was made
-    void confirm_outage(); // a call has failed as it does while discovery is down
     void end_outage();
     Instant silent_watch_expiry(const Call &call) const {
         return call.started_at + *call.max_wait + rules_.watch_overrun;
--- a/src/net/http/connection.cpp
+++ b/src/net/http/connection.cpp
@@ -48,8 +48,7 @@
 asio::awaitable<CallResult> Connection::request(std::string_view method, std::string_view path,
                                                 std::string_view body, Milliseconds timeout, bool resend,
                                                 Response &response) {
-    if (socket_.is_open() && !is_open_and_idle(socket_)) close();
-    const bool reused = socket_.is_open();
+    const bool reused = has_usable_connection();
     const unsigned address_changes = address_changes_;
     const CallResult result = co_await request_once(method, path, body, timeout, response);
     const bool send_again = reused && address_changes == address_changes_ && !socket_deadline_.expired() &&
@@ -58,9 +57,13 @@
     co_return co_await request_once(method, path, body, timeout, response);
 }
 
-asio::awaitable<ConnectResult> Connection::connect() {
+bool Connection::has_usable_connection() {
     if (socket_.is_open() && !is_open_and_idle(socket_)) close();
-    if (socket_.is_open()) co_return ConnectResult::connected;
+    return socket_.is_open();
+}
+
+asio::awaitable<ConnectResult> Connection::connect() {
+    if (has_usable_connection()) co_return ConnectResult::connected;
     const ConnectResult result = co_await open(limits_.platform_connect_timeout);
     socket_deadline_.cancel();
     co_return result;
--- a/src/net/http/connection.hpp
+++ b/src/net/http/connection.hpp
@@ -49,6 +49,7 @@
     bool set_address(const Address &address);
 
   private:
+    bool has_usable_connection(); // closes one that is not
     asio::awaitable<ConnectResult> open(Milliseconds timeout);
     asio::awaitable<CallResult> request_once(std::string_view method, std::string_view path,
                                              std::string_view body, Milliseconds timeout, Response &response);
--- a/src/router/driver.cpp
+++ b/src/router/driver.cpp
@@ -184,7 +184,7 @@
             rpc.none_executed && std::none_of(rpc.picks.begin(), rpc.picks.end(), [](const auto &pick) {
                 return pick && hosts::Hosts::was_sent(pick);
             });
-        const bool may_retry = no_pick_executed || is_idempotent(rpc);
+        const bool may_retry = no_pick_executed || is_idempotent(rpc.request->request);
         answer(rpc, may_retry ? clients::busy_reply(0) : "-ERR aborted\r\n");
         begin_turn().rpc_finished(id, -1);
         erase_if_done(id);
@@ -269,7 +269,7 @@
     const clients::Request &asked = request->request;
     const std::string id(asked.id);
     // Neither served, as its effect could come twice, nor pushed back, which would promise that it had none.
-    if (!config_.names.idempotent.at(asked.method) && executed_ids_.contains(id, Instant::clock::now()))
+    if (!is_idempotent(asked) && executed_ids_.contains(id, Instant::clock::now()))
         return clients::Clients::answer(reply, "-ERR this id may have been executed\r\n");
     const auto [at, inserted] = rpcs_.try_emplace(id, Rpc{reply, request});
     if (!inserted) return clients::Clients::answer(reply, "-ERR this id is under way\r\n");
@@ -386,14 +386,17 @@
     erase_if_done(id);
 }
 
-bool Driver::is_idempotent(const Rpc &rpc) const {
-    return config_.names.idempotent.at(rpc.request->request.method);
+bool Driver::is_idempotent(const clients::Request &request) const {
+    return config_.names.idempotent.at(request.method);
 }
 
 void Driver::erase_if_done(const std::string &id) {
     const auto at = rpcs_.find(id);
-    if (at == rpcs_.end() || !at->second.finished || at->second.open_picks > 0) return;
-    if (!is_idempotent(at->second) && !at->second.none_executed) executed_ids_.add(id, Instant::clock::now());
+    if (at == rpcs_.end()) return;
+    const Rpc &rpc = at->second;
+    if (!rpc.finished || rpc.open_picks > 0) return;
+    if (!is_idempotent(rpc.request->request) && !rpc.none_executed)
+        executed_ids_.add(id, Instant::clock::now());
     rpcs_.erase(at);
 }
 
--- a/src/router/driver.hpp
+++ b/src/router/driver.hpp
@@ -80,7 +80,7 @@
     void push_back(Rpc &rpc, const std::string &id, Ticks retry_after); // without passing it to the module
     void release_admission(Rpc &rpc, bool served); // tells the RPC limiter that the RPC has ended
     void erase_if_done(const std::string &id);
-    bool is_idempotent(const Rpc &rpc) const;
+    bool is_idempotent(const clients::Request &request) const;
     void handle_host_list(const membership::Listing &listing);
     void set_list_lease(Instant until, Instant outage_until); // the lease of the host list
     void start_registry();
--- a/src/router/executed_ids.hpp
+++ b/src/router/executed_ids.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <deque>
+#include <string>
 
 namespace pineridge::router {
 
@@ -24,14 +25,14 @@
     ExecutedIds(std::uint64_t salt, std::size_t max_count, Duration lifetime)
         : salt_(salt), max_count_(max_count), lifetime_(lifetime) {}
 
-    void add(std::string_view id, Instant now) {
+    void add(const std::string &id, Instant now) {
         forget_old(now);
         const std::uint64_t hash = hash_of(id);
         if (!hashes_.insert(hash).second) return;
         entries_.push_back({now, hash});
         if (entries_.size() > max_count_) forget_oldest();
     }
-    bool contains(std::string_view id, Instant now) {
+    bool contains(const std::string &id, Instant now) {
         forget_old(now);
         return hashes_.contains(hash_of(id));
     }
@@ -44,7 +45,7 @@
     };
 
     // Ids are long and chosen by clients, so that only their hashes are kept.
-    std::uint64_t hash_of(std::string_view id) const { return salted_hash(std::string(id), salt_); }
+    std::uint64_t hash_of(const std::string &id) const { return salted_hash(id, salt_); }
     void forget_old(Instant now) {
         while (!entries_.empty() && now - entries_.front().added_at > lifetime_) forget_oldest();
     }
--- a/src/router/list/watch.cpp
+++ b/src/router/list/watch.cpp
@@ -172,21 +172,19 @@
 // that it may be made often. Once somebody listens, the decision module spreads the calls of the fleet.
 asio::awaitable<void> Watch::wait_until_reachable() {
     const unsigned address_changes = address_changes_;
-    while (address_changes == address_changes_) {
+    for (;;) {
         co_await pause(config_.limits.list_reconnect_pause);
         if (address_changes != address_changes_) co_return;
-        lease_.call_started(Clock::now(), std::nullopt);
+        const auto started = Clock::now();
         const http::ConnectResult result = co_await link_.connect();
-        if (result == http::ConnectResult::connected) {
-            log_(Level::info, "list: discovery takes connections again");
-            co_return lease_.call_abandoned();
-        }
         if (address_changes != address_changes_) co_return;
-        lease_.call_failed(result == http::ConnectResult::refused ? CallFailure::unreachable
-                                                                  : CallFailure::connect_failed,
-                           Clock::now());
+        if (result == http::ConnectResult::connected) break;
+        if (result != http::ConnectResult::refused) continue; // tells the lease nothing
+        lease_.call_started(started, std::nullopt);
+        lease_.call_failed(CallFailure::unreachable, Clock::now());
         update_lease();
     }
+    log_(Level::info, "list: discovery takes connections again");
 }
 
 CallFailure Watch::to_call_failure(Outcome outcome) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -337,6 +337,9 @@
     }
     bool trial_running() const { return has_rollout && rollout_state.phase == Phase::on_trial; }
     bool watching_release() const { return has_rollout && rollout_state.phase == Phase::released; }
+    bool in_last_stage() const {
+        return rollout_state.stage + 1 >= static_cast<int>(config.rollout.stage_shares.size());
+    }
     // Returns whether the present release step drains hosts of the builds before it: after the release, or
     // where the new hosts replace the earlier ones one by one.
     bool replaces_earlier_hosts() const {
@@ -345,9 +348,7 @@
     // Returns whether a build that is called back may have been released before. That is known only where its
     // release was reported, and an update may have been missed.
     bool may_have_been_released() const {
-        return is_rolling_back(rollout_state.build) &&
-               (config.rollout.replaces_hosts ||
-                rollout_state.stage + 1 >= static_cast<int>(config.rollout.stage_shares.size()));
+        return is_rolling_back(rollout_state.build) && (config.rollout.replaces_hosts || in_last_stage());
     }
     bool usable(const Host &host) const {
         return host.listed && host.entry.status == HostStatus::ready &&
--- a/tests/bounded_state_test.cpp
+++ b/tests/bounded_state_test.cpp
@@ -35,8 +35,8 @@
 namespace {
 
 constexpr int kRpcsPerWindow = 20000;
-constexpr std::size_t kMaxGrowth = 64 * 1024; // bytes: what is kept for a window varies a little
-constexpr std::size_t kMaxHeldBytes = 4 * 1024 * 1024;
+constexpr std::ptrdiff_t kMaxGrowth = 64 * 1024; // bytes: what is kept for a window varies a little
+constexpr std::ptrdiff_t kMaxHeldBytes = 4 * 1024 * 1024;
 
 // Sends RPCs, each with a key of its own, for some exposure windows; all of them are served.
 void serve_windows(DecisionFixture &fixture, int windows, Ticks window) {
@@ -49,16 +49,21 @@
     }
 }
 
+// Returns by how much the heap has grown over these windows, once what is kept for one window is there.
+std::ptrdiff_t growth_over(DecisionFixture &fixture, int windows, Ticks window) {
+    serve_windows(fixture, 5, window);
+    const std::size_t before = bytes_in_use;
+    serve_windows(fixture, windows, window);
+    return static_cast<std::ptrdiff_t>(bytes_in_use) - static_cast<std::ptrdiff_t>(before);
+}
+
 void arrivals_are_forgotten_while_no_build_is_on_trial() {
     const DeploymentConfig config = deployment_config(RepeatPolicy::idempotent);
     DecisionFixture fixture(config);
     fixture.add_host("a", 1);
     fixture.add_host("b", 1);
     fixture.update_rollout(1, 1, Phase::released, 1);
-    serve_windows(fixture, 5, config.rollout.exposure_window);
-    const std::size_t before = bytes_in_use;
-    serve_windows(fixture, 10, config.rollout.exposure_window);
-    assert(bytes_in_use <= before + kMaxGrowth);
+    assert(growth_over(fixture, 10, config.rollout.exposure_window) <= kMaxGrowth);
 }
 
 void ever_new_sticky_keys_take_bounded_memory() {
@@ -68,10 +73,7 @@
     fixture.add_host("old", 1);
     fixture.add_host("new", 2);
     fixture.update_rollout(2, 1, Phase::released, 1);
-    serve_windows(fixture, 5, config.rollout.exposure_window);
-    const std::size_t before = bytes_in_use;
-    serve_windows(fixture, 30, config.rollout.exposure_window);
-    assert(bytes_in_use <= before + kMaxHeldBytes);
+    assert(growth_over(fixture, 30, config.rollout.exposure_window) <= kMaxHeldBytes);
 }
 
 // No key that was held is let go, however many follow; below the limit no other key is taken for one.
--- a/tests/client_budget_test.cpp
+++ b/tests/client_budget_test.cpp
@@ -12,10 +12,7 @@
 constexpr std::size_t kMemory = 1024 * 1024; // for the commands of all clients
 constexpr std::size_t kLongBody = 64 * 1024;
 
-std::string long_command(const std::string &id) {
-    return std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk(id) + bulk("c=order,d=5000") +
-           bulk(std::string(kLongBody, 'x'));
-}
+std::string long_command(const std::string &id) { return order_command(id, std::string(kLongBody, 'x')); }
 
 // A router whose clients may use little memory, and a number of clients.
 struct World {
--- a/tests/client_close_test.cpp
+++ b/tests/client_close_test.cpp
@@ -132,8 +132,7 @@
         assert(client_side.read_replies(client, 7) == "+PONG\r\n");
         std::string commands;
         for (int i = 0; i < 20; ++i)
-            commands += std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk("id-" + std::to_string(i)) +
-                        bulk("c=order,d=5000") + bulk(std::string(2000, 'x'));
+            commands += order_command("id-" + std::to_string(i), std::string(2000, 'x'));
         client.non_blocking(false);
         asio::write(client, asio::buffer(commands));
         if (with_reset) client.set_option(asio::socket_base::linger(true, 0));
--- a/tests/client_states_test.cpp
+++ b/tests/client_states_test.cpp
@@ -231,8 +231,7 @@
     tcp::socket admitted = world.side.connect();
     asio::write(admitted, asio::buffer(ask_command("id-one")));
     world.side.expect_replies(admitted, {"id-one"});
-    const std::string long_command = "*5\r\n" + bulk("Q.DO") + bulk("key") + bulk("id-two") +
-                                     bulk("c=order,d=5000") + bulk(std::string(60000, 'x'));
+    const std::string long_command = order_command("id-two", std::string(60000, 'x'));
     for (const std::size_t first_part :
          {std::size_t{0}, std::size_t{10}, std::size_t{5000}, long_command.size()}) {
         tcp::socket refused = world.side.connect();
--- a/tests/owed_test.cpp
+++ b/tests/owed_test.cpp
@@ -298,10 +298,7 @@
 
 // --- shutdown ---
 
-std::string order(const std::string &id) {
-    return std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk(id) + bulk("c=order,d=20000") +
-           bulk("body");
-}
+std::string order(const std::string &id) { return order_command(id, "body", "20000"); }
 
 // At SIGTERM the timeouts of RPCs in progress are longer than the process may live: they are answered before
 // it may be killed, and pushed back where a retry is harmless.
--- a/tests/repeated_id_test.cpp
+++ b/tests/repeated_id_test.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-std::string order_command(const std::string &id) {
-    return std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk(id) + bulk("c=order,d=5000") +
-           bulk("body");
-}
-
 std::string host_value(const std::string &id) { return std::string("*3\r\n") + bulk(id) + "$-1\r\n$-1\r\n"; }
 
 // Returns how often the host was sent the command with this id.
--- a/tests/router_fixture.hpp
+++ b/tests/router_fixture.hpp
@@ -210,6 +210,13 @@
     return std::string("*4\r\n") + bulk("Q.ASK") + bulk("key") + bulk(id) + bulk("c=lookup,d=" + deadline_ms);
 }
 
+// Returns the command of an RPC that must not be executed twice.
+inline std::string order_command(const std::string &id, const std::string &body = "body",
+                                 const std::string &deadline_ms = "5000") {
+    return std::string("*5\r\n") + bulk("Q.DO") + bulk("key") + bulk(id) + bulk("c=order,d=" + deadline_ms) +
+           bulk(body);
+}
+
 // Answers a command as a host does; the value is the id of the RPC. Empty until the command is complete.
 inline std::string host_answer(const std::string &received) {
     const std::size_t id = received.find("\r\nid-");
--- a/tests/stale_list_test.cpp
+++ b/tests/stale_list_test.cpp
@@ -74,8 +74,8 @@
     assert(hosts_serving_rpcs(fixture).size() == kRpcs);
 }
 
-// In an outage while a build is on trial, rolling back or withdrawn, picks go to the hosts of the build
-// before it, which a list has shown since.
+// In an outage while a build is on trial, or called back from a stage in which it cannot have been released,
+// picks go to the hosts of the build before it.
 void outage_uses_hosts_of_the_build_before_the_trial() {
     for (const Phase phase : {Phase::on_trial, Phase::rolling_back, Phase::withdrawn}) {
         DecisionFixture fixture = two_builds(phase, 0);
